Add design, build, message schema and decision interfaces

Cause: the repository was empty. Change: design page, Maven build with format and lint checks, protobuf schema with generated code, identifiers, timer service, blackboard, time line events, configuration model, ports to the platform, dispatcher events and actions. Conclusion: the interfaces are fixed for the modules that follow.

--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** Topics with immutable snapshots that controllers write and the request path reads. */
+package org.coltsfootquay.decision.blackboard;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/common/RequestAttempt.java
@@ -0,0 +1,34 @@
+package org.coltsfootquay.decision.common;
+
+/**
+ * One attempt to have a request executed; messages about another attempt are ignored.
+ *
+ * @param request request the attempt belongs to
+ * @param attempt number of the attempt, starting at 1
+ */
+public record RequestAttempt(RequestId request, int attempt) {
+
+    /**
+     * Checks the parts.
+     *
+     * @throws IllegalArgumentException if the request is null or the number is less than 1
+     */
+    public RequestAttempt {
+        ArgumentUtils.requireValue(request, "request");
+        ArgumentUtils.requirePositive(attempt, "attempt");
+    }
+
+    /**
+     * Returns the attempt that follows this one.
+     *
+     * @return the next attempt of the same request
+     */
+    public RequestAttempt next() {
+        return new RequestAttempt(request, attempt + 1);
+    }
+
+    @Override
+    public String toString() {
+        return request + "/" + attempt;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable fleet configuration and its versions. */
+package org.coltsfootquay.decision.configuration;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Records of non-idempotent requests. */
+package org.coltsfootquay.decision.idempotency;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Run-time checks of the guarantees. */
+package org.coltsfootquay.decision.invariant;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Concurrency limit of a server and the cold-start ramp. */
+package org.coltsfootquay.decision.limit;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipView.java
@@ -0,0 +1,64 @@
+package org.coltsfootquay.decision.membership;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.coltsfootquay.decision.blackboard.Topic;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.common.RouterId;
+
+/**
+ * Members of the fleet as last read from the store, one snapshot.
+ *
+ * @param members members by identifier, ordered by join revision
+ * @param revision revision of the store that the view was read at
+ */
+public record MembershipView(Map<RouterId, Member> members, long revision) {
+
+    /** Topic written by the membership controller. */
+    public static final Topic<MembershipView> TOPIC = new Topic<>("membership", new MembershipView(Map.of(), 0));
+
+    /** Number of children of a node of the aggregation tree. */
+    public static final int TREE_FAN_IN = 16;
+
+    /** Orders the members by join revision and copies them. */
+    public MembershipView {
+        Map<RouterId, Member> ordered = new LinkedHashMap<>();
+        members.values().stream()
+                .sorted(Comparator.comparingLong(Member::joinRevision).thenComparing(Member::id))
+                .forEach(member -> ordered.put(member.id(), member));
+        members = Collections.unmodifiableMap(ordered);
+    }
+
+    /**
+     * Returns the members of a region in the order of their ranks; leaving members come last.
+     *
+     * @param region region
+     * @return members
+     */
+    public List<Member> ranked(RegionName region) {
+        return members.values().stream()
+                .filter(member -> member.region().equals(region))
+                .sorted(Comparator.comparing(Member::leaving))
+                .toList();
+    }
+
+    /**
+     * Returns the parent of a router in its region's aggregation tree.
+     *
+     * @param router router
+     * @return parent, or empty for the root and for an unknown router
+     */
+    public Optional<Member> treeParent(RouterId router) {
+        Member self = members.get(router);
+        if (self == null) {
+            return Optional.empty();
+        }
+        List<Member> ranked = ranked(self.region());
+        int rank = ranked.indexOf(self);
+        return rank <= 0 ? Optional.empty() : Optional.of(ranked.get((rank - 1) / TREE_FAN_IN));
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the owner that a request is queued at. */
+package org.coltsfootquay.decision.placement;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budgets, backoff and deadlines. */
+package org.coltsfootquay.decision.retry;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/shutdown/package-info.java
@@ -0,0 +1,2 @@
+/** Planned stop of a router. */
+package org.coltsfootquay.decision.shutdown;
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/store/RowWrite.java
@@ -0,0 +1,57 @@
+package org.coltsfootquay.decision.store;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** One conditional change of a row. */
+public sealed interface RowWrite {
+
+    /**
+     * Returns the key of the row.
+     *
+     * @return key
+     */
+    String key();
+
+    /**
+     * Returns the condition of the change.
+     *
+     * @return condition
+     */
+    RowCondition condition();
+
+    /**
+     * Writes the content of a row.
+     *
+     * @param key key of the row
+     * @param value new content
+     * @param condition condition
+     * @param timeToLive time after which the row expires, or empty for a row that stays
+     */
+    record Put(String key, RowValue value, RowCondition condition, Optional<Duration> timeToLive) implements RowWrite {}
+
+    /**
+     * Extends the expiry of a row without a new revision; does not appear in {@link TableStore#changes}.
+     *
+     * @param key key of the row
+     * @param condition condition
+     * @param timeToLive new time to live, counted from now by the clock of the store
+     */
+    record Touch(String key, RowCondition condition, Duration timeToLive) implements RowWrite {}
+
+    /**
+     * Deletes a row.
+     *
+     * @param key key of the row
+     * @param condition condition
+     */
+    record Delete(String key, RowCondition condition) implements RowWrite {}
+
+    /**
+     * Checks a condition without a change; used in atomic batches.
+     *
+     * @param key key of the row
+     * @param condition condition
+     */
+    record Check(String key, RowCondition condition) implements RowWrite {}
+}
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/PackageDependenciesTest.java
@@ -0,0 +1,37 @@
+package org.coltsfootquay.decision;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Guards against input, output and system clocks in the decision library. */
+final class PackageDependenciesTest {
+
+    private final JavaClasses classes = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.coltsfootquay.decision");
+
+    @Test
+    void decisionLibraryUsesNoTransport() {
+        noClasses()
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.io..")
+                .because("the decision library has no input or output; pass events in and carry actions out")
+                .check(classes);
+    }
+
+    @Test
+    void decisionLibraryReadsNoSystemClock() {
+        noClasses()
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .because("time is passed in, so that a run can be repeated exactly")
+                .check(classes);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.coltsfootquay.router;
