Run a periodic task once after a pause

Cause: a task missed several periods while time stood still, and the timer service then ran it twice in one advance. Conclusion: a pause causes no burst of control work.

--- a/decision/src/main/java/org/coltsfootquay/decision/timer/DrivenTimerService.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/timer/DrivenTimerService.java
@@ -83,8 +83,9 @@
     }
 
     private void reschedule(Task task, long newNowNanos) {
-        long missed = (newNowNanos - task.dueNanos) / task.periodNanos;
-        task.dueNanos += task.periodNanos * Math.max(1, missed);
+
+        long elapsedPeriods = (newNowNanos - task.dueNanos) / task.periodNanos;
+        task.dueNanos += task.periodNanos * (elapsedPeriods + 1);
         tasks.add(task);
     }
 
