Add the transport between routers

Cause: routers need authenticated, bounded connections made on demand. Conclusion: frames of strangers and malformed frames close only their own connection.

--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
@@ -0,0 +1,98 @@
+package org.coltsfootquay.router.channel;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Helpers for Netty channels and addresses. */
+public final class ChannelUtils {
+
+    private ChannelUtils() {}
+
+    /**
+     * Writes a message and flushes; a failed write closes the channel.
+     *
+     * @param channel channel
+     * @param message message; ownership passes to the channel
+     */
+    public static void send(Channel channel, Object message) {
+        ChannelFuture written = channel.writeAndFlush(message);
+        written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /**
+     * Closes a channel without waiting.
+     *
+     * @param channel channel
+     */
+    public static void close(Channel channel) {
+        ChannelFuture closed = channel.close();
+        closed.addListener(future -> {});
+    }
+
+    /**
+     * Creates a group of NIO event loops with daemon threads.
+     *
+     * @param name prefix of the thread names
+     * @param threads number of threads
+     * @return the group
+     */
+    public static EventLoopGroup eventLoops(String name, int threads) {
+        return new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    }
+
+    /**
+     * Shuts a group of event loops down.
+     *
+     * @param group group
+     * @return completed when all threads have ended
+     */
+    public static CompletableFuture<Void> shutDown(EventLoopGroup group) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        io.netty.util.concurrent.Future<?> ended = group.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+        ended.addListener(future -> result.complete(null));
+        return result;
+    }
+
+    /**
+     * Parses an address.
+     *
+     * @param address text of the form {@code host:port}; an IPv6 host stands in square brackets
+     * @return socket address; the host is an IP number, so nothing is resolved by name
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static InetSocketAddress parseAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("address \"" + address + "\" is not of the form host:port");
+        }
+        String host = address.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        }
+        try {
+            return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("address \"" + address + "\" has no valid port number", e);
+        }
+    }
+
+    /**
+     * Formats the local address of a bound channel.
+     *
+     * @param channel channel
+     * @return text of the form {@code host:port}
+     */
+    public static String localAddress(Channel channel) {
+        InetSocketAddress address = (InetSocketAddress) channel.localAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/channel/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers for Netty channels that the transports share. */
+package org.coltsfootquay.router.channel;
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/peer/PeerChannelHandler.java
@@ -0,0 +1,232 @@
+package org.coltsfootquay.router.peer;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.protocol.generated.Hello;
+import org.coltsfootquay.protocol.generated.Probe;
+import org.coltsfootquay.protocol.generated.ProbeReply;
+import org.coltsfootquay.router.channel.ChannelUtils;
+
+/**
+ * One connection between two routers.
+ *
+ * <p>The connecting side sends a {@code Hello} with its nonce, the accepting side answers with its own nonce and proof,
+ * and the connecting side sends a second {@code Hello} with its proof. Frames follow.
+ *
+ * <p>A {@code Probe} without a service asks only whether the connection works; the reply returns on the connection.
+ */
+final class PeerChannelHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private final PeerNetwork network;
+    private final boolean connector;
+    /** Router that the connecting side wants to reach; null on the accepting side. */
+    private final PeerLink link;
+
+    private final ByteString ownNonce;
+    private ByteString peerNonce;
+    private PeerIdentity peer;
+    private String closeReason = "connection closed by the peer";
+    private boolean idleClose;
+    private long lastReadNanos = System.nanoTime();
+    private Future<?> helloTimer;
+    private Future<?> checkTimer;
+
+    PeerChannelHandler(PeerNetwork network, PeerLink link) {
+        this.network = network;
+        this.connector = link != null;
+        this.link = link;
+        this.ownNonce = network.proof().newNonce();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        network.opened(ctx.channel());
+        helloTimer = ctx.executor()
+                .schedule(
+                        () -> violation(ctx, "no valid hello in time"),
+                        network.limits().helloTimeout().toNanos(),
+                        TimeUnit.NANOSECONDS);
+        if (connector) {
+            sendHello(ctx, ByteString.EMPTY);
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+        if (peer != null && network.isCutOff(peer.router())) {
+            return;
+        }
+        int size = bytes.readableBytes();
+        Frame frame;
+        try {
+            frame = Frame.parseFrom(bytes.nioBuffer());
+        } catch (InvalidProtocolBufferException e) {
+            violation(ctx, "malformed frame");
+            return;
+        }
+        network.counters().received(frame, size);
+        lastReadNanos = System.nanoTime();
+        if (peer == null) {
+            if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
+                violation(ctx, "frame before a valid hello");
+            } else {
+                hello(ctx, frame.getHello());
+            }
+            return;
+        }
+        established(ctx, frame);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        cancelTimers();
+        network.closed(ctx.channel(), link, peer, closeReason, idleClose);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            violation(ctx, "frame larger than " + PeerLimits.MAX_FRAME_BYTES + " bytes");
+            return;
+        }
+        closeReason = "connection failed: " + cause.getMessage();
+        ChannelUtils.close(ctx.channel());
+    }
+
+    private void hello(ChannelHandlerContext ctx, Hello hello) {
+        if (hello.getProtocolVersion() != PeerLimits.PROTOCOL_VERSION) {
+            violation(ctx, "protocol version " + hello.getProtocolVersion() + " is not supported");
+            return;
+        }
+        if (hello.getNonce().size() != HelloProof.NONCE_BYTES
+                || hello.getRouter().isBlank()
+                || hello.getZone().isBlank()) {
+            violation(ctx, "incomplete hello");
+            return;
+        }
+        if (connector) {
+            peerNonce = hello.getNonce();
+            if (!network.proof().matches(hello, false, ownNonce, peerNonce)) {
+                violation(ctx, "hello with a wrong proof; check that both routers have the same fleet key");
+            } else if (!hello.getRouter().equals(link.peer().value())) {
+                violation(ctx, "address belongs to another router");
+            } else {
+                sendHello(ctx, network.proof().proof(network.ownHello(), true, ownNonce, peerNonce));
+                establish(ctx, hello);
+            }
+        } else if (peerNonce == null) {
+            peerNonce = hello.getNonce();
+            sendHello(ctx, network.proof().proof(network.ownHello(), false, peerNonce, ownNonce));
+        } else if (!network.proof().matches(hello, true, peerNonce, ownNonce)) {
+            violation(ctx, "hello with a wrong proof; check that both routers have the same fleet key");
+        } else {
+            establish(ctx, hello);
+        }
+    }
+
+    private void establish(ChannelHandlerContext ctx, Hello hello) {
+        PeerIdentity identity = new PeerIdentity(
+                new RouterId(hello.getRouter()), hello.getIncarnation(), new ZoneName(hello.getZone()));
+        helloTimer.cancel(false);
+        if (network.isCutOff(identity.router())) {
+            closeReason = "cut off by a fault switch";
+            ChannelUtils.close(ctx.channel());
+            return;
+        }
+        peer = identity;
+        long period = network.limits().probeAfter().toNanos() / 2;
+        checkTimer = ctx.executor().scheduleAtFixedRate(() -> check(ctx), period, period, TimeUnit.NANOSECONDS);
+        if (!network.established(ctx.channel(), link, peer)) {
+            closeReason = "a newer incarnation of the router is connected";
+            ChannelUtils.close(ctx.channel());
+        }
+    }
+
+    private void established(ChannelHandlerContext ctx, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HELLO -> violation(ctx, "second hello");
+            case BODY_NOT_SET -> {}
+            case PROBE -> {
+                if (frame.getProbe().getService().isEmpty()) {
+                    sendDirectly(
+                            ctx,
+                            Frame.newBuilder()
+                                    .setProbeReply(ProbeReply.getDefaultInstance())
+                                    .build());
+                } else {
+                    network.received(peer, frame);
+                }
+            }
+            case PROBE_REPLY -> {
+                if (!frame.getProbeReply().getService().isEmpty()) {
+                    network.received(peer, frame);
+                }
+            }
+            default -> network.received(peer, frame);
+        }
+    }
+
+    private void check(ChannelHandlerContext ctx) {
+        long silentNanos = System.nanoTime() - lastReadNanos;
+        PeerLimits limits = network.limits();
+        if (network.inUse(peer.router())) {
+            if (silentNanos > limits.lostAfter().toNanos()) {
+                closeReason = "no message for " + limits.lostAfter().toMillis() + " ms";
+                ChannelUtils.close(ctx.channel());
+            } else if (silentNanos > limits.probeAfter().toNanos()) {
+                sendDirectly(
+                        ctx,
+                        Frame.newBuilder().setProbe(Probe.getDefaultInstance()).build());
+            }
+        } else if (silentNanos > limits.idleTimeout().toNanos()) {
+            idleClose = true;
+            closeReason = "idle";
+            ChannelUtils.close(ctx.channel());
+        }
+    }
+
+    private void sendHello(ChannelHandlerContext ctx, ByteString proof) {
+        Hello hello = network.ownHello().toBuilder()
+                .setNonce(ownNonce)
+                .setProof(proof)
+                .build();
+        sendDirectly(ctx, Frame.newBuilder().setHello(hello).build());
+    }
+
+    private void sendDirectly(ChannelHandlerContext ctx, Frame frame) {
+        if (peer != null && network.isCutOff(peer.router())) {
+            return;
+        }
+        byte[] bytes = PeerLink.encode(frame);
+        network.counters().sent(frame, bytes.length - PeerCounters.LENGTH_BYTES);
+        ChannelUtils.send(ctx.channel(), Unpooled.wrappedBuffer(bytes));
+    }
+
+    private void violation(ChannelHandlerContext ctx, String reason) {
+        if (!ctx.channel().isActive()) {
+            return;
+        }
+        closeReason = reason;
+        network.refused(ctx.channel(), peer, reason);
+        ChannelUtils.close(ctx.channel());
+    }
+
+    private void cancelTimers() {
+        if (helloTimer != null) {
+            helloTimer.cancel(false);
+        }
+        if (checkTimer != null) {
+            checkTimer.cancel(false);
+        }
+    }
+}
