--- a/router/src/main/java/org/coltsfootquay/router/package-info.java
+++ b/router/src/main/java/org/coltsfootquay/router/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The router daemon: input and output around the decision library. */
 package org.coltsfootquay.router;
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/settings/KeyDigestUtils.java
@@ -0,0 +1,62 @@
+package org.coltsfootquay.router.settings;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.regex.Pattern;
+import org.coltsfootquay.settings.SettingsObject;
+
+/** Digests of keys, so that neither settings nor configuration contain a key itself. */
+public final class KeyDigestUtils {
+
+    private static final String PREFIX = "sha256:";
+    private static final Pattern FORM = Pattern.compile(PREFIX + "[0-9a-f]{64}");
+
+    private KeyDigestUtils() {}
+
+    /**
+     * Computes the digest of a key.
+     *
+     * @param key key
+     * @return SHA-256 digest in lower-case hexadecimal
+     */
+    public static String digest(String key) {
+        return digest(key.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Computes the digest of bytes.
+     *
+     * @param content bytes
+     * @return SHA-256 digest in lower-case hexadecimal
+     */
+    public static String digest(byte[] content) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is missing; use a complete Java 17 runtime", e);
+        }
+    }
+
+    /**
+     * Returns the text form of a digest in files.
+     *
+     * @param digest digest in lower-case hexadecimal
+     * @return text that {@link #digestOf} accepts
+     */
+    public static String text(String digest) {
+        return PREFIX + digest;
+    }
+
+    static String digestOf(String text, SettingsObject object, String field) {
+        if (!FORM.matcher(text).matches()) {
+            object.problem(
+                    field,
+                    "a text of " + text.length() + " characters of another form",
+                    "write \"sha256:\" and the 64 digits that 'printf %s KEY | sha256sum' prints");
+            return "";
+        }
+        return text.substring(PREFIX.length());
+    }
+}
