Add the client of backend servers

Cause: entry routers send requests to engines and application servers after a grant. Conclusion: an answer whose end cannot be told from a broken connection fails instead of passing as complete.

--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -0,0 +1,244 @@
+package org.coltsfootquay.router.backend;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObject;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.router.backend.BackendFailure.Kind;
+import org.coltsfootquay.router.channel.ChannelUtils;
+
+/**
+ * HTTP client with a pool of connections for each server; thread-safe.
+ *
+ * <p>A call never waits for a free connection: the owner of the server bounds the calls that run at a time.
+ */
+public final class BackendClient {
+
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+    private static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+    /** Unused connections kept for each server. */
+    private static final int MAX_IDLE = 64;
+
+    /** Shorter than the keep-alive of servers, so that a reused connection is rarely being closed. */
+    private static final Duration IDLE_TIME = Duration.ofSeconds(15);
+
+    private final EventLoopGroup eventLoops;
+    private final ConcurrentHashMap<String, Pool> pools = new ConcurrentHashMap<>();
+    private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    /**
+     * Creates a client.
+     *
+     * @param eventLoops event loops, owned by the caller
+     */
+    public BackendClient(EventLoopGroup eventLoops) {
+        this.eventLoops = eventLoops;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request request
+     * @param handler receiver of the answer
+     * @return the call
+     */
+    public BackendCall send(BackendRequest request, BackendHandler handler) {
+        BackendExchange exchange = new BackendExchange(request, handler);
+        start(exchange);
+        return exchange;
+    }
+
+    /**
+     * Returns the number of open connections to all servers.
+     *
+     * @return connections
+     */
+    public int connections() {
+        return channels.size();
+    }
+
+    /** Closes all connections; calls in progress fail. */
+    public void close() {
+        closed = true;
+        channels.forEach(ChannelUtils::close);
+    }
+
+    private void start(BackendExchange exchange) {
+        Pool pool = pools.computeIfAbsent(exchange.request().address(), address -> new Pool());
+        PooledConnection idle = pool.take();
+        if (idle != null) {
+            idle.channel.eventLoop().execute(() -> idle.reuse(exchange));
+        } else {
+            connect(pool, exchange);
+        }
+    }
+
+    private void connect(Pool pool, BackendExchange exchange) {
+        BackendRequest request = exchange.request();
+        if (closed) {
+            eventLoops.execute(() -> exchange.fail(Kind.CONNECT, "the client is closed"));
+            return;
+        }
+        ChannelFuture connected;
+        try {
+            connected = new Bootstrap()
+                    .group(eventLoops)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                            request.connectTimeout().toMillis())
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline()
+                                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                    .addLast(new PooledConnection(pool, channel));
+                        }
+                    })
+                    .connect(ChannelUtils.parseAddress(request.address()));
+        } catch (IllegalArgumentException e) {
+            eventLoops.execute(() -> exchange.fail(Kind.CONNECT, e.getMessage()));
+            return;
+        }
+        connected.addListener(future -> {
+            if (future.isSuccess()) {
+                connected.channel().pipeline().get(PooledConnection.class).run(exchange);
+            } else {
+                exchange.fail(Kind.CONNECT, "cannot connect to " + request.address());
+            }
+        });
+    }
+
+    private static final class Pool {
+
+        private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
+
+        private synchronized PooledConnection take() {
+            return idle.pollLast();
+        }
+
+        private synchronized boolean put(PooledConnection handler) {
+            if (idle.size() >= MAX_IDLE) {
+                return false;
+            }
+            idle.addLast(handler);
+            return true;
+        }
+
+        private synchronized boolean remove(PooledConnection handler) {
+            return idle.remove(handler);
+        }
+    }
+
+    private final class PooledConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+        private final Pool pool;
+        private final Channel channel;
+        private BackendExchange exchange;
+        private Future<?> idleTimer;
+
+        private PooledConnection(Pool pool, Channel channel) {
+            this.pool = pool;
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channels.add(channel);
+            if (closed) {
+                ChannelUtils.close(channel);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (exchange == null) {
+                ChannelUtils.close(channel);
+                return;
+            }
+            boolean keepAlive = exchange.received(part) && exchange.keepsAlive();
+            if (keepAlive) {
+                release();
+            } else if (exchange.hasEnded()) {
+                ChannelUtils.close(channel);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            channels.remove(channel);
+            pool.remove(this);
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
+            if (exchange != null) {
+                exchange.fail(Kind.BROKEN, "the server closed the connection");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (exchange != null) {
+                exchange.fail(Kind.BROKEN, "connection failed: " + cause.getMessage());
+            }
+            ChannelUtils.close(channel);
+        }
+
+        /** Uses a pooled connection, or a new one when the server closed this one meanwhile. */
+        private void reuse(BackendExchange next) {
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
+            if (channel.isActive()) {
+                run(next);
+            } else {
+                start(next);
+            }
+        }
+
+        private void run(BackendExchange next) {
+            if (!channel.isActive()) {
+                next.fail(Kind.CONNECT, "the server closed the connection before the request");
+                return;
+            }
+            exchange = next;
+            if (!next.begin(channel)) {
+                release();
+            }
+        }
+
+        private void release() {
+            exchange = null;
+            channel.config().setAutoRead(true);
+            if (!channel.isActive() || !pool.put(this)) {
+                ChannelUtils.close(channel);
+                return;
+            }
+            idleTimer = channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                if (pool.remove(this)) {
+                                    ChannelUtils.close(channel);
+                                }
+                            },
+                            IDLE_TIME.toNanos(),
+                            TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/backend/BackendClientTest.java
@@ -0,0 +1,229 @@
+package org.coltsfootquay.router.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.coltsfootquay.decision.dispatch.LoadReport;
+import org.coltsfootquay.router.backend.BackendFailure.Execution;
+import org.coltsfootquay.router.backend.BackendFailure.Kind;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class BackendClientTest {
+
+    private final EventLoopGroup loops = ChannelUtils.eventLoops("backend-test", 2);
+    private final BackendClient client = new BackendClient(loops);
+
+    @AfterEach
+    void close() {
+        client.close();
+        ChannelUtils.shutDown(loops).join();
+    }
+
+    /** Failure guarded against: a connection for each request, or an answer given to the wrong request. */
+    @Test
+    void connectionIsReusedForTheNextRequest() throws Exception {
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) ->
+                output.write(ScriptedServer.whole(200, head.substring(0, head.indexOf(" HTTP")))))) {
+            for (int i = 0; i < 5; i++) {
+                Recorder recorder = new Recorder(true);
+                client.send(request(server.address(), "/r" + i, Duration.ofSeconds(5)), recorder);
+                recorder.await();
+                assertEquals("POST /r" + i, recorder.text());
+                assertEquals(200, recorder.status);
+            }
+            assertEquals(1, server.connections.get());
+            assertTrue(server.heads.get(0).contains("x-request-id: r"));
+        }
+    }
+
+    /** Failure guarded against: a request that never left is reported as possibly executed, or the reverse. */
+    @Test
+    void executionIsNotSentOnlyWhenNoByteWasWritten() throws Exception {
+        int unusedPort;
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            unusedPort = probe.getLocalPort();
+        }
+        assertFailure("127.0.0.1:" + unusedPort, true, Kind.CONNECT, Execution.NOT_SENT);
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) -> socket.close())) {
+            assertFailure(server.address(), false, Kind.NOT_STARTED, Execution.NOT_SENT);
+            assertEquals(0, server.heads.size());
+            assertFailure(server.address(), true, Kind.BROKEN, Execution.MAY_HAVE_RUN);
+        }
+    }
+
+    /** Failure guarded against: a truncated answer is presented as complete. */
+    @Test
+    void truncatedAnswersFail() throws Exception {
+        String[] answers = {
+            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "HTTP/1.1 200 OK\r\n\r\nabc",
+            "nonsense\r\n\r\n",
+        };
+        for (String answer : answers) {
+            try (ScriptedServer server = new ScriptedServer((head, output, socket) -> {
+                output.write(ScriptedServer.ascii(answer));
+                output.flush();
+                socket.close();
+            })) {
+                Recorder recorder = new Recorder(true);
+                client.send(request(server.address(), "/", Duration.ofSeconds(5)), recorder);
+                assertEquals(Execution.MAY_HAVE_RUN, recorder.await().execution(), answer);
+            }
+        }
+    }
+
+    /** Failure guarded against: a slow caller makes the router hold the whole answer in memory. */
+    @Test
+    void pausedCallStopsReadingFromTheServer() throws Exception {
+        int size = 64 << 20;
+        AtomicLong written = new AtomicLong();
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) -> {
+            output.write(ScriptedServer.ascii("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n"));
+            byte[] block = new byte[64 * 1024];
+            for (int sent = 0; sent < size; sent += block.length) {
+                output.write(block);
+                written.addAndGet(block.length);
+            }
+        })) {
+            Recorder recorder = new Recorder(true);
+            BackendCall call = client.send(request(server.address(), "/", Duration.ofSeconds(1)), recorder);
+            recorder.firstByte.get(5, TimeUnit.SECONDS);
+            call.pause();
+            Thread.sleep(1500);
+            long whilePaused = recorder.received.get();
+            Thread.sleep(100);
+            assertEquals(whilePaused, recorder.received.get());
+            assertTrue(written.get() < size, "the server is held back by TCP");
+            call.resume();
+            recorder.await();
+            assertEquals(size, recorder.received.get());
+        }
+    }
+
+    /** Failure guarded against: a server that hangs holds the request for ever. */
+    @Test
+    void silentAndCancelledCallsEnd() throws Exception {
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) -> Thread.sleep(10_000))) {
+            Recorder silent = new Recorder(true);
+            client.send(request(server.address(), "/", Duration.ofMillis(100)), silent);
+            assertEquals(Kind.SILENT, silent.await().kind());
+            Recorder cancelled = new Recorder(true);
+            BackendCall call = client.send(request(server.address(), "/", Duration.ofSeconds(30)), cancelled);
+            call.cancel();
+            assertEquals(Kind.CANCELLED, cancelled.await().kind());
+        }
+    }
+
+    /** Failure guarded against: the limit of a server is raised on a misread load report. */
+    @Test
+    void loadIsReadAndBadAnswersGiveNone() throws Exception {
+        String body = "{\"running\":3,\"waiting\":1,\"cold\":true,\"bearable\":2,\"uptimeMillis\":5,\"ageMillis\":6}";
+        try (ScriptedServer server =
+                        new ScriptedServer((head, output, socket) -> output.write(ScriptedServer.whole(200, body)));
+                ScriptedServer bad =
+                        new ScriptedServer((head, output, socket) -> output.write(ScriptedServer.whole(200, "[1]")))) {
+            assertEquals(Optional.of(new LoadReport(3, 1, true, OptionalInt.of(2), 5, 6)), load(server.address()));
+            assertEquals(Optional.empty(), load(bad.address()));
+        }
+    }
+
+    private Optional<LoadReport> load(String address) throws Exception {
+        CompletableFuture<Optional<LoadReport>> result = new CompletableFuture<>();
+        new ServerCalls(client).load(address, result::complete);
+        return result.get(5, TimeUnit.SECONDS);
+    }
+
+    private void assertFailure(String address, boolean mayStart, Kind kind, Execution execution) throws Exception {
+        Recorder recorder = new Recorder(mayStart);
+        client.send(request(address, "/", Duration.ofSeconds(5)), recorder);
+        BackendFailure failure = recorder.await();
+        assertEquals(kind, failure.kind());
+        assertEquals(execution, failure.execution());
+        assertEquals(execution == Execution.MAY_HAVE_RUN, recorder.started);
+        assertFalse(failure.message().isEmpty());
+    }
+
+    private static BackendRequest request(String address, String path, Duration silence) {
+        byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+        return new BackendRequest(
+                address, "POST", path, Map.of("x-request-id", "r"), body, Duration.ofSeconds(2), silence);
+    }
+
+    private static final class Recorder implements BackendHandler {
+
+        private static final BackendFailure NONE = new BackendFailure(Kind.CANCELLED, Execution.NOT_SENT, "");
+
+        private final boolean mayStart;
+        private final BlockingQueue<BackendFailure> end = new LinkedBlockingQueue<>();
+        private final CompletableFuture<Void> firstByte = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final AtomicLong received = new AtomicLong();
+        private volatile boolean started;
+        private volatile int status;
+
+        private Recorder(boolean mayStart) {
+            this.mayStart = mayStart;
+        }
+
+        private BackendFailure await() throws InterruptedException {
+            BackendFailure failure = end.poll(20, TimeUnit.SECONDS);
+            assertTrue(failure != null, "the call did not end");
+            return failure;
+        }
+
+        private String text() {
+            return body.toString(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public boolean mayStart() {
+            return mayStart;
+        }
+
+        @Override
+        public void started() {
+            started = true;
+        }
+
+        @Override
+        public void head(int newStatus, Map<String, String> headers) {
+            status = newStatus;
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            if (received.addAndGet(bytes.length) < 1000) {
+                body.writeBytes(bytes);
+            }
+            firstByte.complete(null);
+        }
+
+        @Override
+        public void finished() {
+            end.add(NONE);
+        }
+
+        @Override
+        public void failed(BackendFailure failure) {
+            end.add(failure);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
@@ -0,0 +1,95 @@
+package org.coltsfootquay.router.backend;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Server on a plain socket that reads one request head after another and lets a script write the answers. */
+final class ScriptedServer implements Closeable {
+
+    /** Writes the answer to one request. */
+    interface Script {
+        void answer(String head, OutputStream output, Socket socket) throws Exception;
+    }
+
+    final List<String> heads = new CopyOnWriteArrayList<>();
+    final AtomicInteger connections = new AtomicInteger();
+    private final ServerSocket server;
+    private final Script script;
+
+    ScriptedServer(Script script) throws IOException {
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.script = script;
+        Thread thread = new Thread(this::accept, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    static byte[] whole(int status, String body) {
+        return ("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length
+                        + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                connections.incrementAndGet();
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream input = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                StringBuilder head = new StringBuilder();
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    int next = input.read();
+                    if (next < 0) {
+                        return;
+                    }
+                    head.append((char) next);
+                }
+                int at = head.toString().toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
+                if (at >= 0) {
+                    int end = head.indexOf("\r\n", at);
+                    input.readNBytes(Integer.parseInt(head.substring(at + 16, end)));
+                }
+                heads.add(head.toString());
+                script.answer(head.toString(), socket.getOutputStream(), socket);
+            }
+        } catch (Exception e) {
+            // The client went away; tests look at the client's side.
+            return;
+        }
+    }
+}
