Add the command line frame, operator commands and the time line buffer

Cause: operators need checked commands, and each process needs a bounded record of its decisions. Change: CommandRunner with exit codes 0, 1 and 2; check-config, config, zone, server and addresses; TimelineBuffer and its JSON lines. Conclusion: further commands are classes of their own.

--- /dev/null
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -0,0 +1,37 @@
+package org.coltsfootquay.cli;
+
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootquay.cli.operator.AddressesCommand;
+import org.coltsfootquay.cli.operator.ConfigCommand;
+import org.coltsfootquay.cli.operator.LeaveReturnCommand;
+
+/** Entry point of the executable jar. */
+public final class Main {
+
+    private Main() {}
+
+    /**
+     * Runs a command and exits with its code.
+     *
+     * @param arguments command line
+     */
+    public static void main(String[] arguments) {
+        Console console = new Console(System.out, System.err);
+        System.exit(new CommandRunner(commands(), console, version()).run(arguments));
+    }
+
+    static List<Command> commands() {
+        return List.of(
+                new CheckConfigCommand(),
+                new ConfigCommand(),
+                LeaveReturnCommand.zone(),
+                LeaveReturnCommand.server(),
+                new AddressesCommand());
+    }
+
+    private static String version() {
+        return Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
+                .orElse("development");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/coltsfootquay/cli/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that talk to the operator interface of a router. */
+package org.coltsfootquay.cli.operator;
--- a/cli/src/main/java/org/coltsfootquay/cli/package-info.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Command line: one class for each command. */
 package org.coltsfootquay.cli;
--- a/router/src/main/java/org/coltsfootquay/router/settings/FleetConfigurationReader.java
+++ b/router/src/main/java/org/coltsfootquay/router/settings/FleetConfigurationReader.java
@@ -53,7 +53,17 @@
      * @throws SettingsException if the text has mistakes; lists all of them
      */
     public static FleetConfiguration read(String source, String text) throws SettingsException {
-        return SettingsReader.read(source, text, root -> new FleetConfigurationReader(root).configuration());
+        return SettingsReader.read(source, text, FleetConfigurationReader::fromObject);
+    }
+
+    /**
+     * Reads a configuration from the root object of a file; mistakes are recorded in the object.
+     *
+     * @param root root object
+     * @return the configuration
+     */
+    public static FleetConfiguration fromObject(SettingsObject root) {
+        return new FleetConfigurationReader(root).configuration();
     }
 
     private FleetConfiguration configuration() {
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/timeline/TimelineEntry.java
@@ -0,0 +1,13 @@
+package org.coltsfootquay.router.timeline;
+
+import org.coltsfootquay.decision.timeline.TimelineEvent;
+
+/**
+ * Event with its place on the time line of one process.
+ *
+ * @param process identifier of the process, for example the router id
+ * @param sequence number that grows by one with each event of the process
+ * @param epochMicros time by the clock of the process, in microseconds since the epoch
+ * @param event event
+ */
+public record TimelineEntry(String process, long sequence, long epochMicros, TimelineEvent event) {}
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/timeline/TimelineBufferTest.java
@@ -0,0 +1,45 @@
+package org.coltsfootquay.router.timeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.coltsfootquay.decision.timeline.EventKind;
+import org.coltsfootquay.decision.timeline.TimelineEvent;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a time line that grows without bound or loses fields on its way to the reader. */
+final class TimelineBufferTest {
+
+    private static TimelineBuffer filled(int capacity, int events) {
+        TimelineBuffer buffer = new TimelineBuffer("r1", capacity, () -> 42, entry -> {});
+        for (int i = 0; i < events; i++) {
+            buffer.record(TimelineEvent.of(EventKind.REQUEST_ADMITTED, "request", i));
+        }
+        return buffer;
+    }
+
+    @Test
+    void onlyTheNewestEventsAreKept() {
+        List<Long> kept =
+                filled(4, 10).read(0, 100).stream().map(TimelineEntry::sequence).toList();
+        assertEquals(List.of(6L, 7L, 8L, 9L), kept);
+    }
+
+    @Test
+    void readContinuesAtTheGivenSequence() {
+        assertEquals(2, filled(100, 10).read(8, 100).size());
+    }
+
+    @Test
+    void writtenEntryIsReadBackEqual() {
+        TimelineEntry entry = filled(4, 1).read(0, 1).get(0);
+        assertEquals(Either.right(entry), TimelineJsonUtils.read(TimelineJsonUtils.write(entry)));
+    }
+
+    @Test
+    void foreignLineIsRejectedWithAMessage() {
+        assertTrue(TimelineJsonUtils.read("{\"kind\": \"other\"}").isLeft());
+    }
+}
