Add service dispatcher with fifo order and server limits

Cause: the daemon's wiring needs a dispatcher. Change: queues per workspace, grants within server limits and shares, refusals, redirects, taken-back grants, duplicates, lost entry routers, in-flight reports, planned stop; all policies order by arrival for now.

--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/FifoOrder.java
@@ -0,0 +1,66 @@
+package org.coltsfootquay.decision.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+
+/** Serves all requests in the order of their arrival at the owner; the baseline of measurements. */
+final class FifoOrder implements OrderPolicy {
+
+    private final TreeMap<Long, WorkspaceQueue> byHead = new TreeMap<>();
+    private final Map<WorkspaceQueue, Long> heads = new HashMap<>();
+    private int waiting;
+    private final Map<WorkspaceQueue, Integer> sizes = new HashMap<>();
+
+    @Override
+    public Comparator<WaitingRequest> withinWorkspace() {
+        return WaitingRequest.BY_ARRIVAL;
+    }
+
+    @Override
+    public void queueChanged(WorkspaceQueue queue, long nowNanos) {
+        Long former = heads.remove(queue);
+        if (former != null) {
+            byHead.remove(former);
+        }
+        Integer formerSize = queue.isEmpty() ? sizes.remove(queue) : sizes.put(queue, queue.size());
+        waiting += queue.size() - (formerSize == null ? 0 : formerSize);
+        WaitingRequest head = queue.head();
+        if (head != null) {
+            heads.put(queue, head.sequence);
+            byHead.put(head.sequence, queue);
+        }
+    }
+
+    @Override
+    public WorkspaceQueue next(long nowNanos) {
+        return byHead.isEmpty() ? null : byHead.firstEntry().getValue();
+    }
+
+    @Override
+    public void granted(WorkspaceQueue queue, long estimatedUnits, long nowNanos) {
+        // The order of arrival does not depend on service received.
+    }
+
+    @Override
+    public void corrected(WorkspaceQueue queue, long differenceUnits) {
+        // The order of arrival does not depend on service received.
+    }
+
+    @Override
+    public void charged(WorkspaceQueue queue, long units) {
+        // The order of arrival does not depend on service received.
+    }
+
+    @Override
+    public void totalsChanged(ServiceTotals.Totals totals, long nowNanos) {
+        // The order of arrival does not depend on service received.
+    }
+
+    @Override
+    public double grantsAhead(WorkspaceQueue queue, long nowNanos) {
+        return waiting + 1.0;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/OrderPolicy.java
@@ -0,0 +1,78 @@
+package org.coltsfootquay.decision.dispatch;
+
+import java.util.Comparator;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+
+/**
+ * Order in which the workspaces of an owner are served.
+ *
+ * <p>The dispatcher reports each change of a queue; the policy keeps its own heaps, so that the choice of the next
+ * workspace takes logarithmic time.
+ */
+interface OrderPolicy {
+
+    /**
+     * Returns the order of the requests of one workspace.
+     *
+     * @return order
+     */
+    Comparator<WaitingRequest> withinWorkspace();
+
+    /**
+     * The first request of a queue changed, or the queue became empty or non-empty.
+     *
+     * @param queue queue
+     * @param nowNanos current time
+     */
+    void queueChanged(WorkspaceQueue queue, long nowNanos);
+
+    /**
+     * Returns the queue whose first request should start next.
+     *
+     * @param nowNanos current time
+     * @return queue, or null when no request waits
+     */
+    WorkspaceQueue next(long nowNanos);
+
+    /**
+     * A request of the queue was granted.
+     *
+     * @param queue queue
+     * @param estimatedUnits estimated service of the request
+     * @param nowNanos current time
+     */
+    void granted(WorkspaceQueue queue, long estimatedUnits, long nowNanos);
+
+    /**
+     * The service of a granted request turned out different from its estimate.
+     *
+     * @param queue queue
+     * @param differenceUnits actual minus estimated service
+     */
+    void corrected(WorkspaceQueue queue, long differenceUnits);
+
+    /**
+     * Service was charged to a workspace.
+     *
+     * @param queue queue
+     * @param units service units
+     */
+    void charged(WorkspaceQueue queue, long units);
+
+    /**
+     * New fleet totals arrived.
+     *
+     * @param totals totals of the service
+     * @param nowNanos current time
+     */
+    void totalsChanged(ServiceTotals.Totals totals, long nowNanos);
+
+    /**
+     * Returns how many requests the owner starts before it starts a request that now joins the queue.
+     *
+     * @param queue queue
+     * @param nowNanos current time
+     * @return number of requests, not negative
+     */
+    double grantsAhead(WorkspaceQueue queue, long nowNanos);
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerPool.java
@@ -0,0 +1,114 @@
+package org.coltsfootquay.decision.dispatch;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.coltsfootquay.decision.common.ServerName;
+
+/** Owned servers, ordered by the part of their capacity that is in use; each change takes logarithmic time. */
+final class ServerPool {
+
+    private final Map<ServerName, ServerSlots> servers = new LinkedHashMap<>();
+    private final TreeSet<ServerSlots> withFreeSlots = new TreeSet<>();
+    private int freeSlots;
+    private int capacity;
+    private int admitting;
+
+    ServerSlots get(ServerName name) {
+        return servers.get(name);
+    }
+
+    Collection<ServerSlots> all() {
+        return servers.values();
+    }
+
+    void add(ServerSlots slots) {
+        servers.put(slots.server.name(), slots);
+        update(slots);
+    }
+
+    void remove(ServerSlots slots) {
+        slots.owned = false;
+        servers.remove(slots.server.name());
+        withFreeSlots.remove(slots);
+        uncount(slots);
+    }
+
+    /**
+     * Brings the order up to date after a change of the server's limit, state or requests in flight.
+     *
+     * @param slots server; ignored when it is not in the pool
+     */
+    void update(ServerSlots slots) {
+        if (!slots.owned) {
+            return;
+        }
+        withFreeSlots.remove(slots);
+        uncount(slots);
+        slots.rank();
+        slots.countedFree = slots.freeSlots();
+        slots.countedCapacity = slots.server.admitting() ? slots.capacity() : 0;
+        slots.countedAdmitting = slots.server.admitting() ? 1 : 0;
+        freeSlots += slots.countedFree;
+        capacity += slots.countedCapacity;
+        admitting += slots.countedAdmitting;
+        if (slots.countedFree > 0) {
+            withFreeSlots.add(slots);
+        }
+    }
+
+    int freeSlots() {
+        return freeSlots;
+    }
+
+    int capacity() {
+        return capacity;
+    }
+
+    int admitting() {
+        return admitting;
+    }
+
+    /**
+     * Returns the least loaded server with a free slot.
+     *
+     * @param excluded servers that must not be used
+     * @return server, or null when none is free
+     */
+    ServerSlots leastLoaded(Set<ServerName> excluded) {
+        for (ServerSlots slots : withFreeSlots) {
+            if (!excluded.contains(slots.server.name())) {
+                return slots;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Tells whether a server that admits work remains when some are excluded.
+     *
+     * @param excluded servers that must not be used
+     * @return true if a request with this exclusion can ever start here
+     */
+    boolean canServe(Set<ServerName> excluded) {
+        int excludedHere = 0;
+        for (ServerName name : excluded) {
+            ServerSlots slots = servers.get(name);
+            if (slots != null && slots.server.admitting()) {
+                excludedHere++;
+            }
+        }
+        return admitting > excludedHere;
+    }
+
+    private void uncount(ServerSlots slots) {
+        freeSlots -= slots.countedFree;
+        capacity -= slots.countedCapacity;
+        admitting -= slots.countedAdmitting;
+        slots.countedFree = 0;
+        slots.countedCapacity = 0;
+        slots.countedAdmitting = 0;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerSlots.java
@@ -0,0 +1,61 @@
+package org.coltsfootquay.decision.dispatch;
+
+import org.coltsfootquay.decision.limit.ServerLimit;
+import org.coltsfootquay.decision.ownership.OwnedServer;
+
+/** Owned server with its limit and the requests in flight on it. */
+final class ServerSlots implements Comparable<ServerSlots> {
+
+    final ServerLimit limit;
+    OwnedServer server;
+    boolean owned = true;
+    int inFlight;
+
+    /** Key of the present position in the pool; changes only while the server is out of the pool. */
+    private double poolKey;
+
+    /** What the sums of the pool contain for this server. */
+    int countedFree;
+
+    int countedCapacity;
+    int countedAdmitting;
+
+    ServerSlots(OwnedServer server, ServerLimit limit) {
+        this.server = server;
+        this.limit = limit;
+    }
+
+    /**
+     * Returns the number of requests that may be in flight, by the share rule of ownership.
+     *
+     * <p>A claimant after a lapse (its ownership is fresh) takes the remainder, so that both parts add up to the limit.
+     *
+     * @return requests
+     */
+    int capacity() {
+        int full = limit.limit();
+        if (server.share() >= 1) {
+            return full;
+        }
+        return server.fresh()
+                ? full - (int) Math.floor(full * (1 - server.share()))
+                : (int) Math.floor(full * server.share());
+    }
+
+    int freeSlots() {
+        return owned && server.admitting() ? Math.max(0, capacity() - inFlight) : 0;
+    }
+
+    void rank() {
+        int capacity = capacity();
+        poolKey = capacity == 0 ? Double.MAX_VALUE : (double) inFlight / capacity;
+    }
+
+    @Override
+    public int compareTo(ServerSlots other) {
+        int byLoad = Double.compare(poolKey, other.poolKey);
+        return byLoad != 0
+                ? byLoad
+                : server.name().value().compareTo(other.server.name().value());
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
@@ -0,0 +1,276 @@
+package org.coltsfootquay.decision.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+import org.coltsfootquay.decision.common.ClassName;
+import org.coltsfootquay.decision.configuration.ServiceKind;
+
+/**
+ * Number of requests that may be in flight on one server: additive increase, multiplicative decrease, and the ramp of a
+ * cold server.
+ *
+ * <p>Latency is judged as the ratio of a measured value to its target, so that classes with different targets can share
+ * a server. Samples are averaged over one second before they are judged: a single long token interval is usually the
+ * prefill of another request and says nothing about the number of requests.
+ */
+public final class ServerLimit {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long WINDOW_NANOS = 1_000 * NANOS_PER_MILLI;
+    private static final double USUAL_WEIGHT = 0.1;
+
+    /** Windows that must be seen before "usual" latency is known. */
+    private static final int USUAL_WINDOWS = 5;
+
+    private final LimitSettings settings;
+    private final ServiceKind kind;
+    private final Map<ClassName, Double> smallestMillis = new HashMap<>();
+
+    private double limit = 1;
+    private boolean ramping;
+    private double formerLimit;
+
+    /** Requests in flight as last reported by the dispatcher. */
+    private int inFlight;
+
+    private boolean fullyUsed;
+    private long grownNanos;
+    private long cutNanos;
+    private boolean cutBefore;
+    private long windowNanos;
+    private double windowSum;
+    private int windowSamples;
+    private double usualRatio;
+    private int usualWindows;
+    private long uptimeMillis = -1;
+
+    /**
+     * Creates the limit of a server without history, which starts in the ramp.
+     *
+     * @param settings figures
+     * @param kind kind of the server's service
+     * @param nowNanos current time
+     */
+    public ServerLimit(LimitSettings settings, ServiceKind kind, long nowNanos) {
+        this.settings = settings;
+        this.kind = kind;
+        this.ramping = true;
+        this.grownNanos = nowNanos;
+        this.windowNanos = nowNanos;
+    }
+
+    /**
+     * Returns the present limit.
+     *
+     * @return requests, at least 1
+     */
+    public int limit() {
+        return (int) Math.floor(limit);
+    }
+
+    /**
+     * Tells whether the ramp of a cold server is active.
+     *
+     * @return true in a cold start
+     */
+    public boolean ramping() {
+        return ramping;
+    }
+
+    /**
+     * Returns the limit that the ramp leads back to.
+     *
+     * @return former limit, or 0 when the server has no history
+     */
+    public int formerLimit() {
+        return (int) formerLimit;
+    }
+
+    /**
+     * Takes over the limit that a former owner measured.
+     *
+     * @param knownLimit limit of the former owner, at least 1
+     * @param cold whether the server was in a cold start
+     */
+    public void restore(double knownLimit, boolean cold) {
+        formerLimit = Math.max(1, Math.min(settings.largest(), knownLimit));
+        ramping = cold;
+        if (!cold) {
+            limit = formerLimit;
+        }
+    }
+
+    /**
+     * Notes the requests in flight after a grant or an end.
+     *
+     * @param requests requests in flight
+     * @param full whether no slot was free
+     */
+    public void occupied(int requests, boolean full) {
+        inFlight = requests;
+        fullyUsed |= full;
+    }
+
+    /**
+     * Notes the token interval of a stream.
+     *
+     * @param worstMillis longest time between tokens since the last report
+     * @param targetMillis target of the class; 0 when it has none
+     * @param nowNanos current time
+     */
+    public void tokenInterval(int worstMillis, int targetMillis, long nowNanos) {
+        if (kind == ServiceKind.MODEL && worstMillis > 0) {
+            int target = targetMillis > 0 ? targetMillis : settings.defaultTokenIntervalMillis();
+            sample((double) worstMillis / target, nowNanos);
+        }
+    }
+
+    /**
+     * Notes a completed request.
+     *
+     * @param classOfWork class of the request
+     * @param serverMillis time from the send to the end
+     * @param nowNanos current time
+     */
+    public void completed(ClassName classOfWork, long serverMillis, long nowNanos) {
+        if (ramping) {
+            limit = Math.min(settings.largest(), limit + 1);
+            if (formerLimit > 0 && limit >= formerLimit) {
+                limit = formerLimit;
+                endRamp(nowNanos);
+            }
+        }
+        if (kind == ServiceKind.APPLICATION) {
+            double millis = Math.max(1, serverMillis);
+            double smallest = smallestMillis.merge(classOfWork, millis, (old, now) -> Math.min(old * 1.001, now));
+            sample(millis / smallest / settings.applicationRatio(), nowNanos);
+        }
+    }
+
+    /**
+     * Notes a request that failed on the server or whose connection broke.
+     *
+     * @param nowNanos current time
+     */
+    public void failed(long nowNanos) {
+        cut(nowNanos);
+    }
+
+    /**
+     * Starts the ramp, or restarts it when it is active.
+     *
+     * @param bearable requests that the server says it can handle, if it says so
+     * @param nowNanos current time
+     */
+    public void foundCold(OptionalInt bearable, long nowNanos) {
+        if (!ramping) {
+            formerLimit = limit;
+            ramping = true;
+            limit = bearable.orElse(1);
+        } else {
+            limit = bearable.orElse((int) Math.max(1, Math.min(limit, inFlight - 1)));
+        }
+        limit = Math.max(1, limit);
+        startWindow(nowNanos);
+    }
+
+    /**
+     * Notes a load report of the server.
+     *
+     * @param running requests the server executes
+     * @param waiting requests the server holds back
+     * @param cold whether the server says that it is cold
+     * @param bearable requests that it says it can handle now, if it says so
+     * @param reportedUptimeMillis time since its process started
+     * @param nowNanos current time
+     */
+    public void loadReported(
+            int running, int waiting, boolean cold, OptionalInt bearable, long reportedUptimeMillis, long nowNanos) {
+        boolean restarted = uptimeMillis >= 0 && reportedUptimeMillis < uptimeMillis;
+        boolean firstReport = uptimeMillis < 0;
+        uptimeMillis = reportedUptimeMillis;
+        boolean recent = firstReport && reportedUptimeMillis < settings.recentStartMillis();
+        if (restarted || recent || (cold && !ramping)) {
+            foundCold(bearable, nowNanos);
+        } else if (cold && bearable.isPresent()) {
+            limit = Math.max(1, bearable.getAsInt());
+        } else if (ramping && waiting == 0 && reportedUptimeMillis >= settings.recentStartMillis()) {
+            limit = Math.max(limit, running);
+        }
+        if (waiting > 0 && running > 0 && running < limit && !ramping) {
+            limit = Math.max(1, running);
+        }
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param nowNanos current time
+     */
+    public void tick(long nowNanos) {
+        if (nowNanos - windowNanos >= WINDOW_NANOS) {
+            closeWindow(nowNanos);
+        }
+        if (nowNanos - grownNanos >= WINDOW_NANOS) {
+            double seconds = Math.min(2, (nowNanos - grownNanos) / 1e9);
+            if (fullyUsed && !ramping && usualWithinTarget()) {
+                limit = Math.min(settings.largest(), limit + settings.growthPerSecond() * seconds);
+            }
+            fullyUsed = false;
+            grownNanos = nowNanos;
+        }
+    }
+
+    private boolean usualWithinTarget() {
+        return windowSamples == 0 || windowSum / windowSamples <= 1;
+    }
+
+    private void sample(double ratio, long nowNanos) {
+        tick(nowNanos);
+        windowSum += ratio;
+        windowSamples++;
+    }
+
+    private void closeWindow(long nowNanos) {
+        if (windowSamples > 0) {
+            double mean = windowSum / windowSamples;
+            boolean usualKnown = usualWindows >= USUAL_WINDOWS;
+            if (usualKnown && !ramping && mean > 1 && mean > settings.coldRatio() * usualRatio) {
+                foundCold(OptionalInt.empty(), nowNanos);
+            } else if (mean > 1) {
+                cut(nowNanos);
+            } else {
+                usualRatio = usualWindows == 0 ? mean : usualRatio + USUAL_WEIGHT * (mean - usualRatio);
+                usualWindows++;
+            }
+        }
+        startWindow(nowNanos);
+    }
+
+    private void cut(long nowNanos) {
+        boolean held = cutBefore && nowNanos - cutNanos < settings.holdOffMillis() * NANOS_PER_MILLI;
+        // Requests run for tens of seconds: until the requests in flight have come down to the limit, latency still
+        // shows the state before the last cut.
+        if (held || (cutBefore && inFlight > limit)) {
+            return;
+        }
+        limit = Math.max(1, limit * settings.cutFactor());
+        cutNanos = nowNanos;
+        cutBefore = true;
+        if (ramping && formerLimit == 0) {
+            endRamp(nowNanos);
+        }
+    }
+
+    private void endRamp(long nowNanos) {
+        ramping = false;
+        grownNanos = nowNanos;
+    }
+
+    private void startWindow(long nowNanos) {
+        windowNanos = nowNanos;
+        windowSum = 0;
+        windowSamples = 0;
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/DispatchFixture.java
@@ -0,0 +1,115 @@
+package org.coltsfootquay.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ClassName;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RequestId;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.configuration.ServiceKind;
+import org.coltsfootquay.decision.ownership.OwnedServer;
+
+/** Drives one dispatcher with a clock that the test sets. */
+final class DispatchFixture {
+
+    static final ServiceName SERVICE = new ServiceName("lm-ritning");
+    static final RouterId SELF = new RouterId("r1");
+    static final RouterId ENTRY = new RouterId("e1");
+    static final ClassName CLASS = new ClassName("summary");
+
+    final ServiceDispatcher dispatcher;
+    final List<DispatchAction> log = new ArrayList<>();
+    long nowNanos = Duration.ofHours(1).toNanos();
+
+    DispatchFixture(PolicyName policy) {
+        dispatcher = new ServiceDispatcher(SERVICE, SELF, policy);
+    }
+
+    static OwnedServer server(String name, double share, boolean admitting, boolean fresh) {
+        return new OwnedServer(
+                new ServerName(name), SERVICE, ServiceKind.MODEL, "127.0.0.1:9000", 7, share, admitting, true, fresh);
+    }
+
+    static RequestAttempt attempt(String id) {
+        return new RequestAttempt(new RequestId(id), 1);
+    }
+
+    /** Owns a warm server whose limit is the given number. */
+    void own(String name, int limit) {
+        handle(new DispatchEvent.ServersChanged(List.of(server(name, 1, true, false))));
+        warm(name, limit);
+    }
+
+    void warm(String name, int limit) {
+        handle(new DispatchEvent.LoadReported(
+                new ServerName(name), new LoadReport(limit, 0, false, OptionalInt.empty(), 3_600_000, 100)));
+    }
+
+    QueuedRequest request(String id, String workspace, long units, Duration deadline) {
+        return request(attempt(id), workspace, units, deadline, Set.of());
+    }
+
+    QueuedRequest request(
+            RequestAttempt attempt, String workspace, long units, Duration deadline, Set<ServerName> excluded) {
+        return new QueuedRequest(
+                attempt,
+                ENTRY,
+                new WorkspaceId(workspace),
+                SERVICE,
+                CLASS,
+                units / 2,
+                units - units / 2,
+                nowNanos + deadline.toNanos(),
+                nowNanos + Duration.ofMinutes(5).toNanos(),
+                List.of(),
+                excluded,
+                false);
+    }
+
+    List<DispatchAction> submit(String id, String workspace, long units) {
+        return handle(new DispatchEvent.Submitted(request(id, workspace, units, Duration.ofSeconds(10))));
+    }
+
+    List<DispatchAction> handle(DispatchEvent event) {
+        List<DispatchAction> actions = dispatcher.handle(event, nowNanos);
+        log.addAll(actions);
+        return actions;
+    }
+
+    List<DispatchAction> advance(Duration time) {
+        nowNanos += time.toNanos();
+        return handle(new DispatchEvent.Ticked());
+    }
+
+    List<DispatchAction> start(String id) {
+        return handle(new DispatchEvent.SendStarted(attempt(id)));
+    }
+
+    List<DispatchAction> complete(String id, long units, long millis) {
+        return handle(new DispatchEvent.Ended(
+                attempt(id), new EndReport(EndReport.Outcome.COMPLETED, units, 100, 20, millis)));
+    }
+
+    /** Returns the requests granted so far, in order. */
+    List<String> granted() {
+        return log.stream()
+                .filter(action -> action instanceof DispatchAction.Granted)
+                .map(action -> action.attempt().request().value())
+                .toList();
+    }
+
+    static <T extends DispatchAction> T only(List<DispatchAction> actions, Class<T> type) {
+        List<T> matching =
+                actions.stream().filter(type::isInstance).map(type::cast).toList();
+        if (matching.size() != 1) {
+            throw new AssertionError("expected one " + type.getSimpleName() + " in " + actions);
+        }
+        return matching.get(0);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/ServiceDispatcherTest.java
@@ -0,0 +1,225 @@
+package org.coltsfootquay.decision.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RequestId;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against more grants than a server's limit, lost slots and answers to superseded attempts. */
+final class ServiceDispatcherTest {
+
+    private final DispatchFixture fixture = new DispatchFixture(PolicyName.FIFO);
+
+    @Test
+    void grantsNoMoreThanTheLimit() {
+        fixture.own("s1", 2);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        DispatchFixture.only(fixture.submit("c", "w", 100), DispatchAction.Queued.class);
+        assertEquals(List.of("a", "b"), fixture.granted());
+        fixture.start("a");
+        fixture.complete("a", 100, 1_000);
+        assertEquals(List.of("a", "b", "c"), fixture.granted());
+    }
+
+    @Test
+    void grantsNothingOnServerThatDoesNotAdmitWork() {
+        fixture.handle(new DispatchEvent.ServersChanged(List.of(DispatchFixture.server("s1", 1, false, false))));
+        fixture.warm("s1", 4);
+        DispatchAction.Refused refused =
+                DispatchFixture.only(fixture.submit("a", "w", 100), DispatchAction.Refused.class);
+        assertEquals(RefusalCode.NOT_OWNER, refused.code());
+        assertTrue(fixture.granted().isEmpty());
+    }
+
+    @Test
+    void refusesWaitingRequestsWhenLastServerStopsAdmitting() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        List<DispatchAction> actions = fixture.handle(
+                new DispatchEvent.ServersChanged(List.of(DispatchFixture.server("s1", 1, false, false))));
+        assertEquals(
+                DispatchFixture.attempt("b"),
+                DispatchFixture.only(actions, DispatchAction.Refused.class).attempt());
+    }
+
+    @Test
+    void takesBackGrantWhoseSendDoesNotStart() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        fixture.advance(Duration.ofMillis(700));
+        assertEquals(List.of("a"), fixture.granted());
+        fixture.advance(Duration.ofMillis(60));
+        assertEquals(List.of("a", "b"), fixture.granted());
+    }
+
+    @Test
+    void countsSendThatWasReportedAfterItsGrantWasTakenBack() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.advance(Duration.ofMillis(800));
+        fixture.start("a");
+        fixture.submit("b", "w", 100);
+        assertEquals(List.of("a"), fixture.granted());
+    }
+
+    @Test
+    void keepsSlotOfStartedRequestUntilItEnds() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.start("a");
+        fixture.submit("b", "w", 100);
+        fixture.advance(Duration.ofMinutes(2));
+        assertEquals(List.of("a"), fixture.granted());
+    }
+
+    @Test
+    void dividesLimitBetweenLapsedHolderAndClaimant() {
+        fixture.own("s1", 5);
+        fixture.handle(new DispatchEvent.ServersChanged(List.of(DispatchFixture.server("s1", 0.5, true, false))));
+        for (int i = 0; i < 6; i++) {
+            fixture.submit("a" + i, "w", 100);
+        }
+        assertEquals(2, fixture.granted().size());
+    }
+
+    @Test
+    void repeatsGrantForRepeatedSubmission() {
+        fixture.own("s1", 2);
+        fixture.submit("a", "w", 100);
+        List<DispatchAction> repeated = fixture.submit("a", "w", 100);
+        DispatchFixture.only(repeated, DispatchAction.Granted.class);
+        fixture.submit("b", "w", 100);
+        DispatchFixture.only(fixture.submit("c", "w", 100), DispatchAction.Queued.class);
+    }
+
+    @Test
+    void ignoresMessagesAboutAnotherAttempt() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        fixture.handle(new DispatchEvent.Withdrawn(new RequestAttempt(new RequestId("b"), 2)));
+        fixture.handle(new DispatchEvent.Withdrawn(new RequestAttempt(new RequestId("a"), 2)));
+        fixture.complete("b", 100, 10);
+        fixture.start("a");
+        fixture.complete("a", 100, 10);
+        assertEquals(List.of("a", "b"), fixture.granted());
+    }
+
+    @Test
+    void newerAttemptReplacesWaitingOne() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        RequestAttempt second = new RequestAttempt(new RequestId("b"), 2);
+        fixture.handle(
+                new DispatchEvent.Submitted(fixture.request(second, "w", 100, Duration.ofSeconds(10), Set.of())));
+        fixture.submit("b", "w", 100);
+        assertEquals(1, fixture.dispatcher.load(fixture.nowNanos).queueLength());
+        List<DispatchAction> actions = fixture.complete("a", 100, 10);
+        assertEquals(
+                second,
+                DispatchFixture.only(actions, DispatchAction.Granted.class).attempt());
+    }
+
+    @Test
+    void passesOverRequestThatExcludesTheOnlyFreeServer() {
+        fixture.handle(new DispatchEvent.ServersChanged(
+                List.of(DispatchFixture.server("s1", 1, true, false), DispatchFixture.server("s2", 1, true, false))));
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        String busy = fixture.log.stream()
+                .filter(action -> action.attempt().equals(DispatchFixture.attempt("b")))
+                .map(action -> ((DispatchAction.Granted) action).server().name().value())
+                .findFirst()
+                .orElseThrow();
+        String free = busy.equals("s1") ? "s2" : "s1";
+        fixture.handle(new DispatchEvent.Submitted(fixture.request(
+                DispatchFixture.attempt("c"), "w", 100, Duration.ofSeconds(10), Set.of(new ServerName(free)))));
+        fixture.submit("d", "w", 100);
+        fixture.handle(new DispatchEvent.Withdrawn(DispatchFixture.attempt("a")));
+        assertEquals(List.of("a", "b", "d"), fixture.granted());
+        fixture.handle(new DispatchEvent.Withdrawn(DispatchFixture.attempt("b")));
+        assertEquals(List.of("a", "b", "d", "c"), fixture.granted());
+    }
+
+    @Test
+    void boundsQueueOfFloodingWorkspaceOnly() {
+        fixture.own("s1", 1);
+        for (int i = 0; i < 70; i++) {
+            fixture.submit("f" + i, "flood", 100);
+        }
+        long full = fixture.log.stream()
+                .filter(action -> action instanceof DispatchAction.Refused refused
+                        && refused.code() == RefusalCode.WORKSPACE_QUEUE_FULL)
+                .count();
+        assertEquals(5, full);
+        DispatchFixture.only(fixture.submit("a", "other", 100), DispatchAction.Queued.class);
+    }
+
+    @Test
+    void dropsWaitingRequestsOfLostEntryAndFreesItsSlotsLater() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.start("a");
+        fixture.submit("b", "w", 100);
+        fixture.handle(new DispatchEvent.EntryLost(DispatchFixture.ENTRY));
+        assertEquals(0, fixture.dispatcher.load(fixture.nowNanos).queueLength());
+        assertEquals(0, fixture.dispatcher.load(fixture.nowNanos).freeSlots());
+        fixture.advance(Duration.ofSeconds(31));
+        assertEquals(1, fixture.dispatcher.load(fixture.nowNanos).freeSlots());
+    }
+
+    @Test
+    void redirectsToIdleOwner() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        fixture.submit("c", "w", 100);
+        RouterId idle = new RouterId("r9");
+        List<DispatchAction> actions = fixture.handle(new DispatchEvent.IdleOwnerFound(idle, 1));
+        DispatchAction.Redirected redirected = DispatchFixture.only(actions, DispatchAction.Redirected.class);
+        assertEquals(idle, redirected.owner());
+        assertEquals(DispatchFixture.attempt("b"), redirected.attempt());
+    }
+
+    @Test
+    void countsRequestsInFlightOfFormerOwner() {
+        fixture.own("s1", 2);
+        fixture.handle(new DispatchEvent.InFlightReported(
+                new ServerName("s1"),
+                List.of(new InFlightEntry(
+                        DispatchFixture.attempt("old"),
+                        DispatchFixture.ENTRY,
+                        new org.coltsfootquay.decision.common.WorkspaceId("w"),
+                        DispatchFixture.CLASS,
+                        40))));
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        assertEquals(List.of("a"), fixture.granted());
+        fixture.complete("old", 90, 1_000);
+        assertEquals(50, fixture.dispatcher.drainUsage().get(0).units());
+        assertEquals(List.of("a", "b"), fixture.granted());
+    }
+
+    @Test
+    void refusesNewRequestsAfterPlannedStopBegan() {
+        fixture.own("s1", 1);
+        fixture.submit("a", "w", 100);
+        fixture.submit("b", "w", 100);
+        List<DispatchAction> actions = fixture.handle(new DispatchEvent.StopBegun());
+        assertEquals(
+                RefusalCode.STOPPING,
+                DispatchFixture.only(actions, DispatchAction.Refused.class).code());
+        DispatchFixture.only(fixture.submit("c", "w", 100), DispatchAction.Refused.class);
+    }
+}
