--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/RequestEvent.java
@@ -0,0 +1,195 @@
+package org.coltsfootquay.decision.request;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.dispatch.RefusalCode;
+import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.StoreException;
+import org.coltsfootquay.decision.store.WriteResult;
+
+/** Input of a {@link RequestFlow}. Events about an attempt other than the current one have no effect on the caller. */
+public sealed interface RequestEvent {
+
+    /** Event about one attempt; it has no effect on the caller unless the attempt is the current one. */
+    sealed interface OfAttempt extends RequestEvent {
+
+        /**
+         * Returns the attempt.
+         *
+         * @return attempt
+         */
+        RequestAttempt attempt();
+    }
+
+    /** The caller's request was admitted; the first event of a flow. */
+    record Admitted() implements RequestEvent {}
+
+    /**
+     * The owner put the attempt into its queue.
+     *
+     * @param attempt attempt
+     * @param estimatedWait estimated waiting time
+     */
+    record OwnerQueued(RequestAttempt attempt, Duration estimatedWait) implements OfAttempt {}
+
+    /**
+     * The owner granted the start on a server.
+     *
+     * @param owner owner that granted
+     * @param attempt attempt
+     * @param server server
+     * @param address address of the server, {@code host:port}
+     * @param fencingNumber fencing number to send with the request
+     * @param startWithin time within which the send must start, counted from this event
+     * @param estimatedWait waiting time that a request queued now would see
+     */
+    record OwnerGranted(
+            RouterId owner,
+            RequestAttempt attempt,
+            ServerName server,
+            String address,
+            long fencingNumber,
+            Duration startWithin,
+            Duration estimatedWait)
+            implements OfAttempt {}
+
+    /**
+     * The owner refused the attempt; it was not started.
+     *
+     * @param attempt attempt
+     * @param code reason
+     * @param retryAfter time after which a retry has a chance
+     */
+    record OwnerRefused(RequestAttempt attempt, RefusalCode code, Duration retryAfter) implements OfAttempt {}
+
+    /**
+     * The owner dropped the attempt from its queue in favour of another owner.
+     *
+     * @param attempt attempt
+     * @param to other owner
+     */
+    record OwnerRedirected(RequestAttempt attempt, RouterId to) implements OfAttempt {}
+
+    /**
+     * The owner takes the server away from the attempt.
+     *
+     * @param attempt attempt
+     */
+    record OwnerPreempted(RequestAttempt attempt) implements OfAttempt {}
+
+    /**
+     * The connection to an owner was lost or could not be made.
+     *
+     * @param owner owner
+     */
+    record OwnerLost(RouterId owner) implements RequestEvent {}
+
+    /**
+     * The client began to write the request to the server, after {@link RequestFlow#maySend} returned true.
+     *
+     * @param attempt attempt
+     */
+    record SendStarted(RequestAttempt attempt) implements OfAttempt {}
+
+    /**
+     * {@link RequestFlow#maySend} returned false; no byte was written and none will be.
+     *
+     * @param attempt attempt
+     */
+    record SendAbandoned(RequestAttempt attempt) implements OfAttempt {}
+
+    /**
+     * The status and the headers of the answer arrived.
+     *
+     * @param attempt attempt
+     * @param status HTTP status
+     * @param headers headers to pass on
+     */
+    record HeadReceived(RequestAttempt attempt, int status, Map<String, String> headers) implements OfAttempt {}
+
+    /**
+     * One token of a model's stream, or some bytes of any other answer.
+     *
+     * @param attempt attempt
+     * @param position number of tokens (model stream) or bytes before this part in the whole answer, tokens sent with
+     *     {@code continue_from} included
+     * @param data text of one token in UTF-8, or bytes; not changed afterwards
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record PartReceived(RequestAttempt attempt, long position, byte[] data) implements OfAttempt {}
+
+    /**
+     * The server ended the answer properly: last chunk, full content length, or the end mark of a stream.
+     *
+     * @param attempt attempt
+     * @param total tokens or bytes of the whole answer as the server counts them, or -1 if it does not say
+     * @param trailer what the server said at the end of a stream (finish reason and usage), empty if nothing
+     */
+    record AnswerEnded(RequestAttempt attempt, long total, String trailer) implements OfAttempt {}
+
+    /**
+     * The server stated that it did not run the request.
+     *
+     * @param attempt attempt
+     * @param statement why
+     */
+    record ServerDeclined(RequestAttempt attempt, Statement statement) implements OfAttempt {
+
+        /** Statements of a server that did not run a request. */
+        public enum Statement {
+            /** 503 with code {@code cold}. */
+            COLD,
+            /** 409 with code {@code fenced}. */
+            FENCED
+        }
+    }
+
+    /**
+     * The server reported an error inside a stream.
+     *
+     * @param attempt attempt
+     * @param detail message of the server
+     */
+    record StreamFailed(RequestAttempt attempt, String detail) implements OfAttempt {}
+
+    /**
+     * No connection could be made, or it broke before any byte of the request was written.
+     *
+     * @param attempt attempt
+     */
+    record ConnectFailed(RequestAttempt attempt) implements OfAttempt {}
+
+    /**
+     * The connection broke after bytes of the request were written and before the answer ended.
+     *
+     * @param attempt attempt
+     */
+    record ConnectionBroken(RequestAttempt attempt) implements OfAttempt {}
+
+    /**
+     * Result of {@link RequestAction.WriteRecord}.
+     *
+     * @param sequence number of the write
+     * @param result result
+     */
+    record RecordWritten(long sequence, WriteResult result) implements RequestEvent {}
+
+    /**
+     * Result of {@link RequestAction.ReadRecord}.
+     *
+     * @param sequence number of the read
+     * @param result row, empty when it does not exist, or the failure
+     */
+    record RecordRead(long sequence, Either<StoreException, Optional<Row>> result) implements RequestEvent {}
+
+    /** The caller's connection closed before its answer was complete. */
+    record CallerGone() implements RequestEvent {}
+
+    /** Time passed; due at the time of the newest {@link RequestAction.ScheduleTimer}, harmless at any other. */
+    record TimePassed() implements RequestEvent {}
+}
