--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -21,7 +22,7 @@
 import org.coltsfootquay.router.channel.ChannelUtils;
 
 /**
- * HTTP client with a pool of connections for each server; thread-safe.
+ * HTTP client with a pool of connections for each server and event loop; thread-safe.
  *
  * <p>A call never waits for a free connection: the owner of the server bounds the calls that run at a time.
  */
@@ -38,7 +39,7 @@
     private static final Duration IDLE_TIME = Duration.ofSeconds(15);
 
     private final EventLoopGroup eventLoops;
-    private final ConcurrentHashMap<String, Pool> pools = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<PoolKey, Pool> pools = new ConcurrentHashMap<>();
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
 
@@ -52,15 +53,28 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request on any event loop.
      *
      * @param request request
      * @param handler receiver of the answer
      * @return the call
      */
     public BackendCall send(BackendRequest request, BackendHandler handler) {
+        return send(eventLoops.next(), request, handler);
+    }
+
+    /**
+     * Sends a request on an event loop; all calls of the handler happen on it, none of them within this method.
+     *
+     * @param eventLoop event loop of this client's group
+     * @param request request
+     * @param handler receiver of the answer
+     * @return the call
+     */
+    public BackendCall send(EventLoop eventLoop, BackendRequest request, BackendHandler handler) {
         BackendExchange exchange = new BackendExchange(request, handler);
-        start(exchange);
+        Pool pool = pools.computeIfAbsent(new PoolKey(eventLoop, request.address()), key -> new Pool(eventLoop));
+        eventLoop.execute(() -> start(pool, exchange));
         return exchange;
     }
 
@@ -79,11 +93,13 @@
         channels.forEach(ChannelUtils::close);
     }
 
-    private void start(BackendExchange exchange) {
-        Pool pool = pools.computeIfAbsent(exchange.request().address(), address -> new Pool());
+    private void start(Pool pool, BackendExchange exchange) {
         PooledConnection idle = pool.take();
+        while (idle != null && !idle.channel.isActive()) {
+            idle = pool.take();
+        }
         if (idle != null) {
-            idle.channel.eventLoop().execute(() -> idle.reuse(exchange));
+            idle.run(exchange);
         } else {
             connect(pool, exchange);
         }
@@ -92,13 +108,13 @@
     private void connect(Pool pool, BackendExchange exchange) {
         BackendRequest request = exchange.request();
         if (closed) {
-            eventLoops.execute(() -> exchange.fail(Kind.CONNECT, "the client is closed"));
+            exchange.fail(Kind.CONNECT, "the client is closed");
             return;
         }
         ChannelFuture connected;
         try {
             connected = new Bootstrap()
-                    .group(eventLoops)
+                    .group(pool.eventLoop)
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
@@ -113,7 +129,7 @@
                     })
                     .connect(ChannelUtils.parseAddress(request.address()));
         } catch (IllegalArgumentException e) {
-            eventLoops.execute(() -> exchange.fail(Kind.CONNECT, e.getMessage()));
+            exchange.fail(Kind.CONNECT, e.getMessage());
             return;
         }
         connected.addListener(future -> {
@@ -125,15 +141,23 @@
         });
     }
 
+    private record PoolKey(EventLoop eventLoop, String address) {}
+
+    /** Unused connections of one event loop to one server; used only on that event loop. */
     private static final class Pool {
 
+        private final EventLoop eventLoop;
         private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
 
-        private synchronized PooledConnection take() {
+        private Pool(EventLoop eventLoop) {
+            this.eventLoop = eventLoop;
+        }
+
+        private PooledConnection take() {
             return idle.pollLast();
         }
 
-        private synchronized boolean put(PooledConnection handler) {
+        private boolean put(PooledConnection handler) {
             if (idle.size() >= MAX_IDLE) {
                 return false;
             }
@@ -141,7 +165,7 @@
             return true;
         }
 
-        private synchronized boolean remove(PooledConnection handler) {
+        private boolean remove(PooledConnection handler) {
             return idle.remove(handler);
         }
     }
@@ -200,23 +224,14 @@
             ChannelUtils.close(channel);
         }
 
-        /** Uses a pooled connection, or a new one when the server closed this one meanwhile. */
-        private void reuse(BackendExchange next) {
-            if (idleTimer != null) {
-                idleTimer.cancel(false);
-            }
-            if (channel.isActive()) {
-                run(next);
-            } else {
-                start(next);
-            }
-        }
-
         private void run(BackendExchange next) {
             if (!channel.isActive()) {
                 next.fail(Kind.CONNECT, "the server closed the connection before the request");
                 return;
             }
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
             exchange = next;
             if (!next.begin(channel)) {
                 release();
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/http/OperatorReply.java
@@ -0,0 +1,20 @@
+package org.coltsfootquay.router.http;
+
+/** Receiver of the result of an operator's command; may be called from any thread, once. */
+public interface OperatorReply {
+
+    /**
+     * Answers with JSON.
+     *
+     * @param status HTTP status
+     * @param json body
+     */
+    void json(int status, String json);
+
+    /**
+     * Answers with an error.
+     *
+     * @param error error
+     */
+    void error(ErrorBody error);
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP front end for callers and operators. */
+package org.coltsfootquay.router.http;
--- a/router/src/main/java/org/coltsfootquay/router/peer/PeerChannelHandler.java
+++ b/router/src/main/java/org/coltsfootquay/router/peer/PeerChannelHandler.java
@@ -37,6 +37,7 @@
     private PeerIdentity peer;
     private String closeReason = "connection closed by the peer";
     private boolean idleClose;
+    private boolean closing;
     private long lastReadNanos = System.nanoTime();
     private Future<?> helloTimer;
     private Future<?> checkTimer;
@@ -63,7 +64,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
-        if (peer != null && network.isCutOff(peer.router())) {
+        // Frames that were read together with the one that ended the connection must have no effect.
+        if (closing || (peer != null && network.isCutOff(peer.router()))) {
             return;
         }
         int size = bytes.readableBytes();
@@ -99,8 +101,7 @@
             violation(ctx, "frame larger than " + PeerLimits.MAX_FRAME_BYTES + " bytes");
             return;
         }
-        closeReason = "connection failed: " + cause.getMessage();
-        ChannelUtils.close(ctx.channel());
+        close(ctx, "connection failed: " + cause.getMessage());
     }
 
     private void hello(ChannelHandlerContext ctx, Hello hello) {
@@ -139,16 +140,14 @@
                 new RouterId(hello.getRouter()), hello.getIncarnation(), new ZoneName(hello.getZone()));
         helloTimer.cancel(false);
         if (network.isCutOff(identity.router())) {
-            closeReason = "cut off by a fault switch";
-            ChannelUtils.close(ctx.channel());
+            close(ctx, "cut off by a fault switch");
             return;
         }
         peer = identity;
         long period = network.limits().probeAfter().toNanos() / 2;
         checkTimer = ctx.executor().scheduleAtFixedRate(() -> check(ctx), period, period, TimeUnit.NANOSECONDS);
         if (!network.established(ctx.channel(), link, peer)) {
-            closeReason = "a newer incarnation of the router is connected";
-            ChannelUtils.close(ctx.channel());
+            close(ctx, "a newer incarnation of the router is connected");
         }
     }
 
@@ -181,8 +180,7 @@
         PeerLimits limits = network.limits();
         if (network.inUse(peer.router())) {
             if (silentNanos > limits.lostAfter().toNanos()) {
-                closeReason = "no message for " + limits.lostAfter().toMillis() + " ms";
-                ChannelUtils.close(ctx.channel());
+                close(ctx, "no message for " + limits.lostAfter().toMillis() + " ms");
             } else if (silentNanos > limits.probeAfter().toNanos()) {
                 sendDirectly(
                         ctx,
@@ -190,8 +188,7 @@
             }
         } else if (silentNanos > limits.idleTimeout().toNanos()) {
             idleClose = true;
-            closeReason = "idle";
-            ChannelUtils.close(ctx.channel());
+            close(ctx, "idle");
         }
     }
 
@@ -213,11 +210,18 @@
     }
 
     private void violation(ChannelHandlerContext ctx, String reason) {
-        if (!ctx.channel().isActive()) {
+        if (closing || !ctx.channel().isActive()) {
             return;
         }
-        closeReason = reason;
         network.refused(ctx.channel(), peer, reason);
+        close(ctx, reason);
+    }
+
+    private void close(ChannelHandlerContext ctx, String reason) {
+        if (!closing) {
+            closing = true;
+            closeReason = reason;
+        }
         ChannelUtils.close(ctx.channel());
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/backend/BackendClientTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/BackendClientTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
@@ -39,11 +40,12 @@
     /** Failure guarded against: a connection for each request, or an answer given to the wrong request. */
     @Test
     void connectionIsReusedForTheNextRequest() throws Exception {
+        EventLoop loop = loops.next();
         try (ScriptedServer server = new ScriptedServer((head, output, socket) ->
                 output.write(ScriptedServer.whole(200, head.substring(0, head.indexOf(" HTTP")))))) {
             for (int i = 0; i < 5; i++) {
                 Recorder recorder = new Recorder(true);
-                client.send(request(server.address(), "/r" + i, Duration.ofSeconds(5)), recorder);
+                client.send(loop, request(server.address(), "/r" + i, Duration.ofSeconds(5)), recorder);
                 recorder.await();
                 assertEquals("POST /r" + i, recorder.text());
                 assertEquals(200, recorder.status);
