--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -5,6 +5,7 @@
 import org.coltsfootquay.cli.operator.AddressesCommand;
 import org.coltsfootquay.cli.operator.ConfigCommand;
 import org.coltsfootquay.cli.operator.LeaveReturnCommand;
+import org.coltsfootquay.cli.timeline.TimelineCommand;
 
 /** Entry point of the executable jar. */
 public final class Main {
@@ -27,7 +28,8 @@
                 new ConfigCommand(),
                 LeaveReturnCommand.zone(),
                 LeaveReturnCommand.server(),
-                new AddressesCommand());
+                new AddressesCommand(),
+                new TimelineCommand());
     }
 
     private static String version() {
