Add the control part of the decision library, first version

Cause: the daemon's wiring needs controllers for membership, ownership and configuration. Change: store watcher, membership, contact, ownership and configuration controllers, assembled by ControlPlane.

--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/configuration/PointerWrite.java
@@ -0,0 +1,21 @@
+package org.coltsfootquay.decision.configuration;
+
+import java.util.Optional;
+import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.RowCondition;
+import org.coltsfootquay.decision.store.RowWrite;
+
+/**
+ * Conditional write of the pointer row.
+ *
+ * @param basis row that the change is based on, or empty when there was none
+ * @param next new content
+ */
+record PointerWrite(Optional<Row> basis, ConfigurationPointer next) {
+
+    RowWrite toPut() {
+        RowCondition condition = basis.<RowCondition>map(row -> new RowCondition.RevisionIs(row.revision()))
+                .orElse(new RowCondition.Absent());
+        return new RowWrite.Put(ConfigurationPointer.KEY, next.toValue(), condition, Optional.empty());
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/control/ControlPlane.java
@@ -0,0 +1,138 @@
+package org.coltsfootquay.decision.control;
+
+import java.util.random.RandomGenerator;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.configuration.ConfigurationController;
+import org.coltsfootquay.decision.configuration.ConfigurationSubmitter;
+import org.coltsfootquay.decision.membership.ContactController;
+import org.coltsfootquay.decision.membership.ExpiredMemberRemover;
+import org.coltsfootquay.decision.membership.MembershipController;
+import org.coltsfootquay.decision.ownership.OwnershipController;
+import org.coltsfootquay.decision.store.StoreWatcher;
+import org.coltsfootquay.decision.timer.TimerService;
+
+/**
+ * All controllers of one router, wired to each other.
+ *
+ * <p>Single-threaded: the thread that drives the timer service makes all calls.
+ */
+public final class ControlPlane {
+
+    private final StoreWatcher watcher;
+    private final MembershipController membership;
+    private final ExpiredMemberRemover remover;
+    private final ContactController contact;
+    private final ConfigurationController configuration;
+    private final ConfigurationSubmitter submitter;
+    private final OwnershipController ownership;
+
+    /**
+     * Creates the controllers; nothing happens until {@link #start()}.
+     *
+     * @param ports ports
+     * @param timer timer service
+     * @param blackboard blackboard that receives the topics of all controllers
+     * @param random source of jitter, used on the control thread only
+     * @param settings settings
+     */
+    public ControlPlane(
+            ControlPorts ports,
+            TimerService timer,
+            Blackboard blackboard,
+            RandomGenerator random,
+            ControlSettings settings) {
+        watcher = new StoreWatcher(ports.store(), timer, blackboard, ports.timeline(), random, settings.watcher());
+        membership = new MembershipController(
+                ports.store(), watcher, timer, blackboard, ports.timeline(), random, settings.membership());
+        remover = new ExpiredMemberRemover(ports.store(), watcher, timer, blackboard, settings.membership());
+        contact = new ContactController(timer, blackboard, settings.membership().id(), settings.contact());
+        configuration = new ConfigurationController(
+                ports.objects(),
+                ports.codec(),
+                ports.snapshots(),
+                watcher,
+                timer,
+                blackboard,
+                ports.timeline(),
+                random,
+                settings.configuration());
+        submitter = new ConfigurationSubmitter(
+                ports.store(), ports.objects(), ports.codec(), watcher, timer, random, settings.configuration());
+        ownership = new OwnershipController(
+                ports.store(),
+                watcher,
+                membership,
+                timer,
+                blackboard,
+                ports.timeline(),
+                random,
+                ports.handovers(),
+                settings.membership(),
+                settings.ownership());
+    }
+
+    /** Starts all controllers. */
+    public void start() {
+        configuration.start();
+        membership.start();
+        ownership.start();
+        remover.start();
+        contact.start();
+        watcher.start();
+    }
+
+    /**
+     * Stops all controllers without a change in the store.
+     *
+     * @param callback called once when no call is in flight
+     */
+    public void stop(Runnable callback) {
+        contact.stop(() -> remover.stop(() -> ownership.stop(() ->
+                submitter.stop(() -> configuration.stop(() -> membership.stop(() -> watcher.stop(callback)))))));
+    }
+
+    /**
+     * Returns the copy of the watched rows.
+     *
+     * @return store watcher
+     */
+    public StoreWatcher watcher() {
+        return watcher;
+    }
+
+    /**
+     * Returns the membership controller.
+     *
+     * @return membership controller
+     */
+    public MembershipController membership() {
+        return membership;
+    }
+
+    /**
+     * Returns the configuration controller.
+     *
+     * @return configuration controller
+     */
+    public ConfigurationController configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the entry for operators' changes.
+     *
+     * @return configuration submitter
+     */
+    public ConfigurationSubmitter submitter() {
+        return submitter;
+    }
+
+    /**
+     * Returns the ownership controller.
+     *
+     * @return ownership controller
+     */
+    public OwnershipController ownership() {
+        return ownership;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/control/ControlPorts.java
@@ -0,0 +1,26 @@
+package org.coltsfootquay.decision.control;
+
+import org.coltsfootquay.decision.configuration.ConfigurationCodec;
+import org.coltsfootquay.decision.configuration.SnapshotRequester;
+import org.coltsfootquay.decision.ownership.HandoverListener;
+import org.coltsfootquay.decision.store.ObjectStore;
+import org.coltsfootquay.decision.store.TableStore;
+import org.coltsfootquay.decision.timeline.TimelineSink;
+
+/**
+ * Ports that the controllers use.
+ *
+ * @param store table service
+ * @param objects object store
+ * @param codec reader and writer of stored configurations
+ * @param snapshots asks peers for configuration objects
+ * @param handovers receiver of completed handovers
+ * @param timeline receiver of events
+ */
+public record ControlPorts(
+        TableStore store,
+        ObjectStore objects,
+        ConfigurationCodec codec,
+        SnapshotRequester snapshots,
+        HandoverListener handovers,
+        TimelineSink timeline) {}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/ContactController.java
@@ -0,0 +1,84 @@
+package org.coltsfootquay.decision.membership;
+
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.configuration.ConfigurationCheck;
+import org.coltsfootquay.decision.store.StoreContact;
+import org.coltsfootquay.decision.timer.TimerService;
+
+/**
+ * Withdraws the permission for new work while this router is cut off from both the store and its peers.
+ *
+ * <p>After a cut the permission returns when the configuration was confirmed anew. A router that knows no other router
+ * has no peers to lose and keeps the permission. Single-threaded.
+ */
+public final class ContactController {
+
+    private final TimerService timer;
+    private final Blackboard blackboard;
+    private final RouterId self;
+    private final ContactSettings settings;
+    private TimerService.Subscription subscription;
+    private long cutOffNanos = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates a controller that does nothing until {@link #start()}.
+     *
+     * @param timer timer service
+     * @param blackboard blackboard that receives {@link WorkPermit#TOPIC}
+     * @param self identifier of this router
+     * @param settings settings
+     */
+    public ContactController(TimerService timer, Blackboard blackboard, RouterId self, ContactSettings settings) {
+        this.timer = ArgumentUtils.requireValue(timer, "timer");
+        this.blackboard = ArgumentUtils.requireValue(blackboard, "blackboard");
+        this.self = ArgumentUtils.requireValue(self, "router id");
+        this.settings = ArgumentUtils.requireValue(settings, "settings");
+    }
+
+    /** Begins to publish the permission. */
+    public void start() {
+        cutOffNanos = timer.nowNanos();
+        subscription = timer.every("contact", settings.checkPeriod(), this::check);
+        check();
+    }
+
+    /**
+     * Stops; the last permission ends by itself.
+     *
+     * @param callback called once
+     */
+    public void stop(Runnable callback) {
+        if (subscription != null) {
+            subscription.cancel();
+        }
+        callback.run();
+    }
+
+    private void check() {
+        long now = timer.nowNanos();
+        long permit = settings.permitTime().toNanos();
+        StoreContact store = blackboard.read(StoreContact.TOPIC);
+        long contact = Math.max(
+                store.lastAnswerNanos(), blackboard.read(PeerContact.TOPIC).lastHeardNanos());
+        boolean alone = knowsNoPeer() && blackboard.read(LeaseState.TOPIC).incarnation() != 0;
+        if (alone) {
+            contact = now;
+        }
+        if (now - contact >= permit) {
+            cutOffNanos = now;
+        }
+        long confirmed = blackboard.read(ConfigurationCheck.TOPIC).confirmedNanos();
+        boolean confirmedSinceCut = confirmed >= cutOffNanos;
+        long until = confirmedSinceCut || alone ? contact + permit : cutOffNanos;
+        WorkPermit old = blackboard.read(WorkPermit.TOPIC);
+        if (old.untilNanos() != until) {
+            blackboard.write(WorkPermit.TOPIC, new WorkPermit(until));
+        }
+    }
+
+    private boolean knowsNoPeer() {
+        return blackboard.read(MembershipView.TOPIC).members().keySet().stream().allMatch(self::equals);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MemberRow.java
@@ -0,0 +1,74 @@
+package org.coltsfootquay.decision.membership;
+
+import java.util.Map;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.RowValue;
+
+/**
+ * Content of a row {@code router/<id>}.
+ *
+ * @param member the router as a member
+ * @param instance random text that tells two processes with one identifier apart
+ * @param releasedRevision revision of the store up to which the router has given up all servers that others claimed
+ */
+public record MemberRow(Member member, String instance, long releasedRevision) {
+
+    /** Prefix of the keys of membership rows. */
+    public static final String PREFIX = "router/";
+
+    /**
+     * Returns the key of a router's row.
+     *
+     * @param id identifier
+     * @return key
+     */
+    public static String key(RouterId id) {
+        return PREFIX + id.value();
+    }
+
+    /**
+     * Reads a row.
+     *
+     * @param row row with a key of {@link #PREFIX}
+     * @return the content
+     * @throws IllegalStateException if a field is missing or malformed
+     */
+    public static MemberRow of(Row row) {
+        RowValue value = row.value();
+        long joined = Long.parseLong(value.optionalText("joinRevision").orElse("0"));
+        Member member = new Member(
+                new RouterId(row.key().substring(PREFIX.length())),
+                value.number("incarnation"),
+                new ZoneName(value.text("zone")),
+                new RegionName(value.text("region")),
+                value.text("callerAddress"),
+                value.text("peerAddress"),
+                value.text("state").equals("leaving"),
+                joined == 0 ? row.revision() : joined);
+        return new MemberRow(
+                member,
+                value.text("instance"),
+                Long.parseLong(value.optionalText("releasedRevision").orElse("0")));
+    }
+
+    /**
+     * Converts to the fields of a row.
+     *
+     * @return fields
+     */
+    public RowValue toValue() {
+        return new RowValue(Map.of(
+                "incarnation", Long.toString(member.incarnation()),
+                "zone", member.zone().value(),
+                "region", member.region().value(),
+                "callerAddress", member.callerAddress(),
+                "peerAddress", member.peerAddress(),
+                "state", member.leaving() ? "leaving" : "running",
+                "joinRevision", Long.toString(member.joinRevision()),
+                "instance", instance,
+                "releasedRevision", Long.toString(releasedRevision)));
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -0,0 +1,75 @@
+package org.coltsfootquay.decision.ownership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.membership.Member;
+import org.coltsfootquay.decision.membership.MemberRow;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.membership.RegionStoreReport;
+import org.coltsfootquay.decision.ownership.ServerRow.LapsedHolder;
+import org.coltsfootquay.decision.store.StoreContact;
+import org.coltsfootquay.decision.store.StoreWatcher;
+
+/**
+ * Division of a server's limit between a holder whose lease lapsed and a claimant.
+ *
+ * <p>Shares are halved only, so their sums are exact in binary floating point.
+ */
+final class ShareRule {
+
+    private final Blackboard blackboard;
+    private final RegionName region;
+    private final Duration reportAge;
+
+    ShareRule(Blackboard blackboard, RegionName region, Duration reportAge) {
+        this.blackboard = blackboard;
+        this.region = region;
+        this.reportAge = reportAge;
+    }
+
+    /** Returns the share that a holder keeps when its lease lapses. */
+    static double lapsedShare(double share) {
+        return share / 2;
+    }
+
+    /** Returns the share that this router may use now of a server whose row gives it {@code share}. */
+    double usable(double share, boolean leaseConfirmed, long now) {
+        return leaseConfirmed || outageConfirmed(now) ? share : lapsedShare(share);
+    }
+
+    /** Tells whether no router of the region can reach the store, so that nobody can claim. */
+    boolean outageConfirmed(long now) {
+        if (blackboard.read(StoreContact.TOPIC).reachable()) {
+            return false;
+        }
+        int known = blackboard.read(MembershipView.TOPIC).ranked(region).size();
+        RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
+        boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
+        boolean all = report.routersWithoutStore() >= known && report.routersWithoutStore() >= report.routers();
+        return known <= 1 || (fresh && all);
+    }
+
+    /** Returns the lapsed holders that no newer incarnation has replaced. */
+    static List<LapsedHolder> known(List<LapsedHolder> lapsed, MembershipView view) {
+        return lapsed.stream().filter(entry -> !replaced(entry, view)).toList();
+    }
+
+    /** Tells whether a lapsed holder surely no longer uses its share. */
+    static boolean gone(LapsedHolder entry, long claimRevision, MembershipView view, StoreWatcher watcher) {
+        Optional<MemberRow> row = watcher.row(MemberRow.key(entry.router()))
+                .filter(found -> !found.expired())
+                .map(MemberRow::of);
+        boolean released = row.filter(found -> found.member().incarnation() == entry.incarnation()
+                        && found.releasedRevision() >= claimRevision)
+                .isPresent();
+        return released || replaced(entry, view);
+    }
+
+    private static boolean replaced(LapsedHolder entry, MembershipView view) {
+        Member member = view.members().get(entry.router());
+        return member != null && member.incarnation() > entry.incarnation();
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcherSettings.java
@@ -0,0 +1,45 @@
+package org.coltsfootquay.decision.store;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+
+/**
+ * Settings of the store watcher.
+ *
+ * @param prefixes prefixes of the keys to watch
+ * @param period time between two polls
+ * @param longestBackoff longest time between two polls while the store does not answer
+ * @param outageAfter time without an answer after which the store counts as out of reach
+ */
+public record StoreWatcherSettings(
+        List<String> prefixes, Duration period, Duration longestBackoff, Duration outageAfter) {
+
+    /**
+     * Copies the prefixes and checks the durations.
+     *
+     * @throws IllegalArgumentException if a duration is not greater than zero
+     */
+    public StoreWatcherSettings {
+        prefixes = List.copyOf(prefixes);
+        ArgumentUtils.requirePositive(period.toNanos(), "period");
+        ArgumentUtils.requirePositive(longestBackoff.toNanos(), "longest backoff");
+        ArgumentUtils.requirePositive(outageAfter.toNanos(), "outage limit");
+    }
+
+    /**
+     * Returns the settings of the design: one poll a second over configuration, routers and servers.
+     *
+     * <p>The longest backoff stays below the time that a router waits after an outage before it claims servers of
+     * expired holders, so that every holder gets the chance to renew first.
+     *
+     * @return settings
+     */
+    public static StoreWatcherSettings standard() {
+        return new StoreWatcherSettings(
+                List.of("config/", "router/", "server/"),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(4),
+                Duration.ofSeconds(3));
+    }
+}
--- a/decision/src/main/java/org/coltsfootquay/decision/timeline/EventKind.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/timeline/EventKind.java
@@ -58,6 +58,8 @@
     SERVER_LEAVING,
     /** A configuration version came into force. */
     CONFIGURATION_IN_FORCE,
+    /** A configuration version could not be read and did not come into force. */
+    CONFIGURATION_REJECTED,
     /** A router became ready. */
     ROUTER_READY,
     /** A router began its planned stop. */
