Add platform stand-in

Cause: tests of the platform client and of the daemon need a table service, object store and VM list that speak the documented protocol.

--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/application/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for an application server. */
+package org.coltsfootquay.standin.application;
--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultSwitches.java
@@ -0,0 +1,59 @@
+package org.coltsfootquay.standin.fault;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
+import org.coltsfootquay.standin.settings.SettingsJson;
+
+/** Fault switches of one stand-in; may be turned from any thread while the stand-in works. */
+public final class FaultSwitches {
+
+    private final AtomicReference<Faults> faults = new AtomicReference<>(Faults.none());
+    private final AtomicLong effects = new AtomicLong();
+
+    /**
+     * Returns the positions of the switches.
+     *
+     * @return faults in force
+     */
+    public Faults current() {
+        return faults.get();
+    }
+
+    /**
+     * Turns switches.
+     *
+     * @param change returns the new positions from the old ones
+     */
+    public void turn(UnaryOperator<Faults> change) {
+        faults.updateAndGet(change);
+    }
+
+    /** Turns all switches off. */
+    public void clear() {
+        faults.set(Faults.none());
+    }
+
+    /**
+     * Turns the switches that a JSON object names; the others keep their position.
+     *
+     * @param json object with fields named as in {@link Faults}
+     * @throws org.coltsfootquay.standin.settings.SettingsException with all mistakes
+     */
+    public void turn(JsonNode json) {
+        faults.updateAndGet(old -> SettingsJson.read(json, old));
+    }
+
+    /**
+     * Decides whether the answer to a call is lost; to be called once for each call that took effect.
+     *
+     * @return whether the connection must be broken instead of an answer
+     */
+    public boolean losesAnswer() {
+        long number = effects.incrementAndGet();
+        Faults before = faults.getAndUpdate(
+                old -> old.loseNextAnswers() > 0 ? old.withLoseNextAnswers(old.loseNextAnswers() - 1) : old);
+        return before.loseNextAnswers() > 0 || (before.loseOneAnswerIn() > 0 && number % before.loseOneAnswerIn() == 0);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Fault switches and counters of the stand-ins. */
+package org.coltsfootquay.standin.fault;
--- a/standin/src/main/java/org/coltsfootquay/standin/package-info.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Stand-ins for outside systems, used by tests and trials. */
 package org.coltsfootquay.standin;
--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform: table service, object store and VM list. */
+package org.coltsfootquay.standin.platform;
--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of checked settings from JSON. */
+package org.coltsfootquay.standin.settings;
