--- /dev/null
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
@@ -0,0 +1,293 @@
+package org.coltsfootquay.standin.engine;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.standin.backend.ColdStart;
+import org.coltsfootquay.standin.backend.LoadHistory;
+import org.coltsfootquay.standin.fault.Counters;
+import org.coltsfootquay.standin.fault.FaultSwitches;
+
+/** Continuous batching of an engine stand-in; used on one event loop. */
+final class EngineCore {
+
+    private static final double COLLAPSE_SLOWDOWN = 4;
+
+    private final EngineSettings settings;
+    private final EventLoop loop;
+    private final FaultSwitches faults;
+    private final Counters counters;
+    private final ColdStart coldStart;
+    private final LoadHistory load;
+    private final PrefixCache cache;
+    private final Map<String, EngineStream> held = new LinkedHashMap<>();
+    private int inFlight;
+    private int decoding;
+    private boolean stepScheduled;
+    private long prefillFreeNanos;
+    private long collapsedUntilNanos;
+    private int incarnation;
+
+    EngineCore(EngineSettings settings, EventLoop loop, FaultSwitches faults, Counters counters) {
+        this.settings = settings;
+        this.loop = loop;
+        this.faults = faults;
+        this.counters = counters;
+        this.coldStart = new ColdStart(settings.coldMillis(), settings.coldBearable(), settings.coldGrowth(), counters);
+        this.load = new LoadHistory(coldStart);
+        this.cache = new PrefixCache(settings.cacheBlocks(), settings.cacheEventGapEvery());
+    }
+
+    /** What became of a request that arrived. */
+    enum Admission {
+        ADMITTED,
+        COLD,
+        FAILED,
+        DUPLICATE
+    }
+
+    LoadHistory load() {
+        return load;
+    }
+
+    PrefixCache cache() {
+        return cache;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    Optional<EngineStream> stream(String requestId) {
+        return Optional.ofNullable(held.get(requestId));
+    }
+
+    /** Starts the engine, or restarts it with no memory. */
+    void restart() {
+        incarnation++;
+        for (EngineStream stream : new ArrayList<>(held.values())) {
+            stream.abortCaller();
+        }
+        held.clear();
+        cache.clear();
+        inFlight = 0;
+        decoding = 0;
+        stepScheduled = false;
+        long now = System.nanoTime();
+        prefillFreeNanos = now;
+        collapsedUntilNanos = now;
+        load.restart(now);
+        coldStart.begin(now);
+    }
+
+    /** Makes the engine cold; requests in flight go on, slowly. */
+    void turnCold() {
+        cache.clear();
+        coldStart.begin(System.nanoTime());
+    }
+
+    /** Admits a request unless the engine is cold or falls over. */
+    Admission admit(EngineStream stream) {
+        long now = System.nanoTime();
+        counters.increment("requests");
+        if (held.containsKey(stream.requestId())) {
+            counters.increment("duplicates");
+            return Admission.DUPLICATE;
+        }
+        if (!coldStart.bears(inFlight + 1, now)) {
+            if (!settings.coldFails()) {
+                counters.increment("coldRefused");
+                return Admission.COLD;
+            }
+            failAll("cold");
+            return Admission.FAILED;
+        }
+        if (inFlight + 1 >= settings.collapseAt()) {
+            collapse(now);
+            return Admission.FAILED;
+        }
+        held.put(stream.requestId(), stream);
+        inFlight++;
+        counters.raise("peakInFlight", inFlight);
+        counters.set("running", inFlight);
+        startPrefill(stream, now);
+        noteLoad(now);
+        return Admission.ADMITTED;
+    }
+
+    /** Notes that the connection of a stream's caller ended; the stream is held for a resume for a while. */
+    void callerLeft(EngineStream stream) {
+        stream.detach();
+        if (!stream.done()) {
+            schedule(
+                    () -> {
+                        if (!stream.done() && !stream.hasCaller()) {
+                            counters.increment("abandoned");
+                            end(stream);
+                            held.remove(stream.requestId());
+                        }
+                    },
+                    settings.holdMillis() * 1_000_000);
+        }
+    }
+
+    void cancel(EngineStream stream) {
+        held.remove(stream.requestId());
+        if (!stream.done()) {
+            counters.increment("cancelled");
+            stream.fail(410, "cancelled", "the request was cancelled by its sender");
+            end(stream);
+        }
+    }
+
+    private void startPrefill(EngineStream stream, long now) {
+        long[] hashes = stream.prefixHashes();
+        int cachedTokens = cache.use(hashes) * PromptUtils.tokens(PrefixHashUtils.BLOCK_BYTES);
+        int tokens = Math.max(1, stream.promptTokens() - cachedTokens) + stream.firstPosition();
+        counters.add("promptTokens", stream.promptTokens());
+        counters.add("cachedTokens", cachedTokens);
+        double slowdown = slowdown(now);
+        long prefillNanos = (long) (tokens * 1e9 * slowdown / settings.prefillTokensPerSecond());
+        long startNanos = prefillFreeNanos - now > 0 ? prefillFreeNanos : now;
+        prefillFreeNanos = startNanos + prefillNanos;
+        long constantNanos = (long) (settings.firstTokenMillis() * 1e6 * slowdown);
+        schedule(() -> startDecoding(stream), prefillFreeNanos - now + constantNanos);
+    }
+
+    private void startDecoding(EngineStream stream) {
+        if (stream.done()) {
+            return;
+        }
+        cache.store(stream.prefixHashes(), System.nanoTime());
+        stream.startDecoding();
+        decoding++;
+        noteLoad(System.nanoTime());
+        produce(stream);
+        scheduleStep();
+    }
+
+    private void scheduleStep() {
+        if (stepScheduled || decoding == 0) {
+            return;
+        }
+        stepScheduled = true;
+        schedule(this::step, intervalNanos(System.nanoTime()));
+    }
+
+    private void step() {
+        stepScheduled = false;
+        for (EngineStream stream : new ArrayList<>(held.values())) {
+            if (stream.decoding() && !stream.done()) {
+                produce(stream);
+            }
+        }
+        scheduleStep();
+    }
+
+    private void produce(EngineStream stream) {
+        if (!stream.complete()) {
+            stream.produce();
+            counters.increment("outputTokens");
+        }
+        if (stream.complete()) {
+            finish(stream);
+            return;
+        }
+        int cut = faults.current().cutStreamsAfterTokens();
+        if (cut > 0 && stream.hasCaller() && stream.sentOnConnection() >= cut) {
+            counters.increment("streamsCut");
+            stream.abortCaller();
+            callerLeft(stream);
+        }
+    }
+
+    private void finish(EngineStream stream) {
+        boolean answerLost = stream.hasCaller() && faults.losesAnswer();
+        if (answerLost) {
+            counters.increment("answersLost");
+            stream.abortCaller();
+        }
+        stream.finish();
+        counters.increment("completed");
+        coldStart.completed();
+        end(stream);
+        schedule(() -> held.remove(stream.requestId(), stream), settings.holdMillis() * 1_000_000);
+    }
+
+    /** Frees what a stream uses. */
+    private void end(EngineStream stream) {
+        if (!stream.done()) {
+            stream.fail(500, "ended", "the engine gave the request up");
+        }
+        inFlight--;
+        if (stream.decoding()) {
+            decoding--;
+        }
+        counters.set("running", inFlight);
+        noteLoad(System.nanoTime());
+    }
+
+    private void collapse(long now) {
+        counters.increment("collapses");
+        collapsedUntilNanos = now + settings.collapseMillis() * 1_000_000;
+        cache.clear();
+        List<EngineStream> running = running();
+        fail(running.subList(running.size() / 2, running.size()), "overloaded");
+    }
+
+    private void failAll(String code) {
+        fail(running(), code);
+    }
+
+    private void fail(List<EngineStream> streams, String code) {
+        for (EngineStream stream : streams) {
+            counters.increment("failed");
+            stream.fail(500, code, "the engine ran out of memory; send it fewer requests");
+            held.remove(stream.requestId());
+            end(stream);
+        }
+    }
+
+    private List<EngineStream> running() {
+        List<EngineStream> running = new ArrayList<>(held.values());
+        running.removeIf(EngineStream::done);
+        return running;
+    }
+
+    private long intervalNanos(long now) {
+        double interval = settings.tokenIntervalMillis();
+        if (decoding > settings.knee()) {
+            interval *= 1 + settings.growthPerStream() * (decoding - settings.knee());
+        }
+        if (decoding > settings.capacity()) {
+            double excess = (double) decoding / settings.capacity();
+            interval *= excess * excess;
+        }
+        return (long) (interval * 1e6 * slowdown(now));
+    }
+
+    private double slowdown(long now) {
+        double slowdown = coldStart.cold(now) ? settings.coldSlowdown() : 1;
+        return collapsedUntilNanos - now > 0 ? slowdown * COLLAPSE_SLOWDOWN : slowdown;
+    }
+
+    private void noteLoad(long now) {
+        load.note(now, inFlight, inFlight - decoding);
+    }
+
+    private void schedule(Runnable task, long delayNanos) {
+        int scheduledIn = incarnation;
+        var unused = loop.schedule(
+                () -> {
+                    if (incarnation == scheduledIn) {
+                        task.run();
+                    }
+                },
+                delayNanos,
+                TimeUnit.NANOSECONDS);
+    }
+}
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/Counters.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/Counters.java
@@ -41,6 +41,16 @@
         counter(name).accumulateAndGet(value, Math::max);
     }
 
+    /**
+     * Sets a counter to a number.
+     *
+     * @param name name of the counter
+     * @param value number
+     */
+    public void set(String name, long value) {
+        counter(name).set(value);
+    }
+
     /**
      * Returns the value of a counter.
      *
--- a/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
@@ -36,6 +36,7 @@
     private final boolean keepAlive;
     private boolean answered;
     private boolean streaming;
+    private Runnable closeAction = () -> {};
 
     Exchange(Channel channel, FullHttpRequest request) {
         this.channel = channel;
@@ -146,12 +147,12 @@
     }
 
     /**
-     * Registers an action for the end of the connection; runs at once if it has ended.
+     * Registers an action for the case that the connection ends before the next request arrives on it.
      *
      * @param action action, run on the event loop
      */
     public void onClose(Runnable action) {
-        channel.closeFuture().addListener(future -> action.run());
+        closeAction = action;
     }
 
     /**
@@ -257,4 +258,8 @@
         streaming = false;
         channel.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
+
+    void connectionEnded() {
+        closeAction.run();
+    }
 }
--- a/standin/src/main/java/org/coltsfootquay/standin/http/StandInServer.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/http/StandInServer.java
@@ -129,9 +129,12 @@
 
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+        private Exchange current;
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             Exchange exchange = new Exchange(context.channel(), request);
+            current = exchange;
             try {
                 handler.handle(exchange);
             } catch (RuntimeException e) {
@@ -140,6 +143,13 @@
             }
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (current != null) {
+                current.connectionEnded();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             LOG.debugf("event=standin-connection-broken cause=%s", cause);
