--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/placement/TwoChoiceSelector.java
@@ -0,0 +1,181 @@
+package org.coltsfootquay.decision.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.membership.Member;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.ownership.OwnerMap;
+
+/**
+ * Chooses the better of two random owners and of the owner of the server that probably holds the prompt's prefix.
+ *
+ * <p>The cost of a choice does not depend on the number of owners, unless most of them are excluded. Thread-safe: the
+ * flows of all event loops share it.
+ */
+public final class TwoChoiceSelector implements OwnerSelector {
+
+    /** Waiting time that a full prefix match is worth: about the prefill of a prompt of 2,000 tokens. */
+    static final double PREFIX_BONUS_MILLIS = 200;
+
+    /** Waiting time that the same zone is worth: two trips of 1.5 ms between zones. */
+    static final double ZONE_BONUS_MILLIS = 3;
+
+    /** Time in which a known waiting time loses half of its weight. */
+    static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Time for which an owner that could not be reached is avoided. */
+    static final long AVOID_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** Known prefixes: 16,384 entries of about 80 bytes are 1.3 MB. */
+    static final int PREFIX_CAPACITY = 16_384;
+
+    /** Known waiting times: more than 390 owners of each of 7 services never fit the use of one router. */
+    static final int WAIT_CAPACITY = 4_096;
+
+    private static final int DRAWS = 8;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final ZoneName zone;
+    private final Supplier<OwnerMap> owners;
+    private final Supplier<MembershipView> members;
+    private final SplittableRandom random;
+    private final PrefixTable prefixes = new PrefixTable(PREFIX_CAPACITY);
+    private final Map<WaitKey, Wait> waits = bounded(WAIT_CAPACITY);
+    private final Map<RouterId, Long> avoidedUntil = bounded(WAIT_CAPACITY);
+
+    /**
+     * Creates a selector.
+     *
+     * @param zone zone of this router
+     * @param owners owners as last read
+     * @param members members as last read
+     * @param seed seed of the choices
+     */
+    public TwoChoiceSelector(ZoneName zone, Supplier<OwnerMap> owners, Supplier<MembershipView> members, long seed) {
+        this.zone = zone;
+        this.owners = owners;
+        this.members = members;
+        this.random = new SplittableRandom(seed);
+    }
+
+    @Override
+    public synchronized Optional<RouterId> choose(
+            ServiceName service, List<Long> prefixHashes, Set<RouterId> excluded, long nowNanos) {
+        OwnerMap map = owners.get();
+        List<RouterId> candidates = map.ownersByService().getOrDefault(service, List.of());
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        RouterId first = draw(candidates, excluded, null, nowNanos);
+        RouterId best = better(service, first, draw(candidates, excluded, first, nowNanos), nowNanos);
+        Optional<PrefixTable.Match> match = prefixes.longest(prefixHashes);
+        if (match.isPresent()) {
+            RouterId holder = ownerOf(map, match.get().server());
+            boolean usable = holder != null && !excluded.contains(holder) && !isAvoided(holder, nowNanos);
+            if (usable) {
+                double score = score(service, holder, nowNanos)
+                        - PREFIX_BONUS_MILLIS * match.get().part();
+                if (best == null || score <= score(service, best, nowNanos)) {
+                    best = holder;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    @Override
+    public synchronized void waitObserved(ServiceName service, RouterId owner, Duration wait, long nowNanos) {
+        waits.put(new WaitKey(service, owner), new Wait(wait.toNanos() / NANOS_PER_MILLI, nowNanos));
+        avoidedUntil.remove(owner);
+    }
+
+    @Override
+    public synchronized void unreachable(RouterId owner, long nowNanos) {
+        avoidedUntil.put(owner, nowNanos + AVOID_NANOS);
+    }
+
+    @Override
+    public synchronized void prefixServed(ServerName server, List<Long> prefixHashes) {
+        prefixes.stored(server, prefixHashes);
+    }
+
+    /**
+     * Notes that a server dropped prefixes from its cache.
+     *
+     * @param server server
+     * @param prefixHashes hashes of the prefixes
+     */
+    public synchronized void prefixRemoved(ServerName server, List<Long> prefixHashes) {
+        prefixes.removed(server, prefixHashes);
+    }
+
+    /** Draws a random owner; falls back to the first usable one when the draws hit only excluded ones. */
+    private RouterId draw(List<RouterId> candidates, Set<RouterId> excluded, RouterId other, long nowNanos) {
+        for (int i = 0; i < DRAWS; i++) {
+            RouterId drawn = candidates.get(random.nextInt(candidates.size()));
+            if (!drawn.equals(other) && !excluded.contains(drawn) && !isAvoided(drawn, nowNanos)) {
+                return drawn;
+            }
+        }
+        if (other != null) {
+            return null;
+        }
+        List<RouterId> usable = new ArrayList<>();
+        for (RouterId candidate : candidates) {
+            if (!excluded.contains(candidate) && !isAvoided(candidate, nowNanos)) {
+                usable.add(candidate);
+            }
+        }
+        return usable.isEmpty() ? null : usable.get(random.nextInt(usable.size()));
+    }
+
+    private RouterId better(ServiceName service, RouterId first, RouterId second, long nowNanos) {
+        if (first == null || second == null) {
+            return first == null ? second : first;
+        }
+        return score(service, second, nowNanos) < score(service, first, nowNanos) ? second : first;
+    }
+
+    private double score(ServiceName service, RouterId owner, long nowNanos) {
+        Wait wait = waits.get(new WaitKey(service, owner));
+        double known = wait == null ? 0 : wait.millis * Math.pow(0.5, (nowNanos - wait.atNanos) / HALF_LIFE_NANOS);
+        Member member = members.get().members().get(owner);
+        return member != null && member.zone().equals(zone) ? known - ZONE_BONUS_MILLIS : known;
+    }
+
+    private boolean isAvoided(RouterId owner, long nowNanos) {
+        Long until = avoidedUntil.get(owner);
+        return until != null && nowNanos < until;
+    }
+
+    private static RouterId ownerOf(OwnerMap map, ServerName server) {
+        OwnerMap.Owner owner = map.owners().get(server);
+        return owner == null ? null : owner.router();
+    }
+
+    private static <K, V> Map<K, V> bounded(int capacity) {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > capacity;
+            }
+        };
+    }
+
+    private record WaitKey(ServiceName service, RouterId owner) {}
+
+    private record Wait(double millis, long atNanos) {}
+}
