Add the entry and owner sides of the daemon, not yet wired

Cause: flows and dispatchers need input and output. Change: EntryRouter runs a RequestFlow on the event loop of its caller; OwnerRouter runs the dispatchers on one thread; both translate between decisions and frames.

--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/entry/EntryParts.java
@@ -0,0 +1,27 @@
+package org.coltsfootquay.router.entry;
+
+import java.util.function.LongSupplier;
+import org.coltsfootquay.decision.request.RequestEnvironment;
+import org.coltsfootquay.router.backend.BackendClient;
+import org.coltsfootquay.router.backend.ServerCalls;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+
+/**
+ * What all flows of an entry router use.
+ *
+ * @param environment environment of the decision library
+ * @param client client of backend servers
+ * @param calls short calls to backend servers
+ * @param owners sends frames to owners
+ * @param records access to the records of non-idempotent requests
+ * @param metrics metrics
+ * @param clock monotonic clock in nanoseconds
+ */
+public record EntryParts(
+        RequestEnvironment environment,
+        BackendClient client,
+        ServerCalls calls,
+        OwnerPort owners,
+        RecordPort records,
+        RouterMetrics metrics,
+        LongSupplier clock) {}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/entry/EntryRouter.java
@@ -0,0 +1,198 @@
+package org.coltsfootquay.router.entry;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.coltsfootquay.decision.common.RequestId;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.configuration.Workspace;
+import org.coltsfootquay.decision.request.CallerRequest;
+import org.coltsfootquay.decision.request.ErrorCode;
+import org.coltsfootquay.decision.request.RequestAction;
+import org.coltsfootquay.decision.request.RequestEvent;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.protocol.generated.InFlightRequest;
+import org.coltsfootquay.protocol.generated.Progress;
+import org.coltsfootquay.protocol.generated.ProgressBatch;
+import org.coltsfootquay.router.http.BearerKeys;
+import org.coltsfootquay.router.http.ErrorBody;
+import org.coltsfootquay.router.http.HttpExchange;
+import org.coltsfootquay.router.http.HttpRequestHandler;
+
+/** Entry side of a router: admits callers' requests and runs their flows; thread-safe. */
+public final class EntryRouter implements HttpRequestHandler {
+
+    /** About 60 bytes an entry keep a batch far below the largest frame. */
+    private static final int MAX_PROGRESS_ENTRIES = 500;
+
+    private final EntryParts parts;
+    private final int maxRequests;
+    private final String requestPrefix;
+    private final Supplier<Optional<String>> obstacle;
+    private final UsageEstimates estimates = new UsageEstimates();
+    private final RequestReader reader = new RequestReader(estimates);
+    private final Map<RequestId, FlowRunner> flows = new ConcurrentHashMap<>();
+    private final Map<RouterId, List<Progress>> progress = new HashMap<>();
+    private final AtomicLong nextRequest = new AtomicLong();
+    private volatile Keys keys = new Keys(-1, new BearerKeys<>(Map.of()));
+
+    private record Keys(long version, BearerKeys<Workspace> keys) {}
+
+    /**
+     * Creates an entry router.
+     *
+     * @param parts what flows use
+     * @param start number that differs between starts of this router; part of request identifiers
+     * @param maxRequests requests at a time
+     * @param obstacle why no request can be admitted now, if so
+     */
+    public EntryRouter(EntryParts parts, long start, int maxRequests, Supplier<Optional<String>> obstacle) {
+        this.parts = parts;
+        this.requestPrefix = parts.environment().self() + "-" + Long.toString(start, 36) + "-";
+        this.maxRequests = maxRequests;
+        this.obstacle = obstacle;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        FleetConfiguration configuration = parts.environment().configuration();
+        Optional<String> reason = obstacle.get();
+        if (reason.isPresent()) {
+            refuse(exchange, ErrorCode.ROUTER_STOPPING, "the router is not ready: " + reason.get());
+            return;
+        }
+        Optional<Workspace> workspace = keys(configuration).holder(exchange.header("authorization"));
+        if (workspace.isEmpty()) {
+            refuse(exchange, ErrorCode.UNAUTHORIZED, "the key is missing or belongs to no workspace");
+            return;
+        }
+        if (flows.size() >= maxRequests) {
+            refuse(exchange, ErrorCode.NO_CAPACITY, "the router has " + maxRequests + " requests in progress");
+            return;
+        }
+        Either<ErrorBody, RequestReader.Read> read =
+                reader.read(exchange, workspace.get(), configuration, nextRequestId());
+        if (read.isLeft()) {
+            parts.metrics().count("requests_total{outcome=\"" + read.getLeft().code() + "\",execution=\"not_run\"}");
+            read.getLeft().send(exchange);
+            return;
+        }
+        FlowRunner runner = new FlowRunner(this, parts, read.get(), exchange);
+        flows.put(read.get().request().id(), runner);
+        runner.start();
+    }
+
+    /**
+     * Delivers a frame of an owner about one of this router's requests.
+     *
+     * @param owner owner
+     * @param frame frame
+     * @return false when the frame is not about a request of an entry router
+     */
+    public boolean frameReceived(RouterId owner, Frame frame) {
+        Optional<RequestEvent.OfAttempt> event = EntryFrames.event(owner, frame);
+        if (event.isEmpty()) {
+            return false;
+        }
+        FlowRunner runner = flows.get(event.get().attempt().request());
+        if (runner != null) {
+            runner.post(event.get());
+        } else if (event.get() instanceof RequestEvent.OwnerGranted granted) {
+            parts.owners().send(owner, EntryFrames.withdraw(granted.attempt(), "request has ended"));
+        }
+        return true;
+    }
+
+    /**
+     * Tells the flows that an owner was lost.
+     *
+     * @param owner owner
+     */
+    public void ownerLost(RouterId owner) {
+        flows.values().forEach(runner -> runner.post(new RequestEvent.OwnerLost(owner)));
+    }
+
+    /**
+     * Collects the requests in flight on a server.
+     *
+     * @param server server
+     * @param receiver receives each one, on event loops
+     */
+    public void reportInFlight(ServerName server, Consumer<InFlightRequest> receiver) {
+        flows.values().forEach(runner -> runner.reportInFlight(server, receiver));
+    }
+
+    /** Sends the collected progress to the owners; called once a second. */
+    public void flushProgress() {
+        Map<RouterId, List<Progress>> batches;
+        synchronized (progress) {
+            batches = new LinkedHashMap<>(progress);
+            progress.clear();
+        }
+        batches.forEach((owner, entries) -> {
+            for (int from = 0; from < entries.size(); from += MAX_PROGRESS_ENTRIES) {
+                List<Progress> part = entries.subList(from, Math.min(entries.size(), from + MAX_PROGRESS_ENTRIES));
+                parts.owners()
+                        .send(
+                                owner,
+                                Frame.newBuilder()
+                                        .setProgress(ProgressBatch.newBuilder().addAllEntries(part))
+                                        .build());
+            }
+        });
+    }
+
+    /**
+     * Returns the number of requests in progress.
+     *
+     * @return flows that have not ended
+     */
+    public int requests() {
+        return flows.size();
+    }
+
+    void progress(RequestAction.ReportProgress action) {
+        synchronized (progress) {
+            progress.computeIfAbsent(action.owner(), owner -> new ArrayList<>()).add(EntryFrames.progress(action));
+        }
+    }
+
+    void finished(CallerRequest request, long units) {
+        long output = Math.max(1, units - request.estimatedInputUnits());
+        estimates.finished(request.workspace(), request.classOfWork().name(), output);
+    }
+
+    void closed(RequestId id) {
+        flows.remove(id);
+    }
+
+    private void refuse(HttpExchange exchange, ErrorCode code, String message) {
+        parts.metrics().count("requests_total{outcome=\"" + code.label() + "\",execution=\"not_run\"}");
+        ErrorBody.of(code.status(), code.label(), message, code.remedy()).send(exchange);
+    }
+
+    private RequestId nextRequestId() {
+        return new RequestId(requestPrefix + Long.toString(nextRequest.incrementAndGet(), 36));
+    }
+
+    private BearerKeys<Workspace> keys(FleetConfiguration configuration) {
+        Keys current = keys;
+        if (current.version() != configuration.version()) {
+            Map<Workspace, List<String>> digests = new LinkedHashMap<>();
+            configuration.workspaces().values().forEach(workspace -> digests.put(workspace, workspace.keyDigests()));
+            current = new Keys(configuration.version(), new BearerKeys<>(digests));
+            keys = current;
+        }
+        return current.keys();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/entry/ServerAnswer.java
@@ -0,0 +1,212 @@
+package org.coltsfootquay.router.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.configuration.ServiceKind;
+import org.coltsfootquay.decision.request.RequestEvent;
+import org.coltsfootquay.decision.request.RequestEvent.ServerDeclined.Statement;
+import org.coltsfootquay.router.backend.BackendFailure;
+import org.coltsfootquay.router.backend.BackendFailure.Execution;
+import org.coltsfootquay.router.backend.BackendFailure.Kind;
+import org.coltsfootquay.router.backend.BackendHandler;
+import org.coltsfootquay.router.backend.SseSplitter;
+import org.coltsfootquay.router.backend.StreamEvent;
+import org.coltsfootquay.router.backend.StreamEventScanner;
+
+/**
+ * Translates the answer of a server to one attempt into events of the flow.
+ *
+ * <p>A model's stream becomes one part a token and ends only with its end mark; any other answer becomes parts of
+ * bytes. An answer 409 or 503 is held back until its body says whether the server declined to run the request.
+ */
+final class ServerAnswer implements BackendHandler {
+
+    private static final int MAX_DECLINED_BYTES = 64 * 1024;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final RequestAttempt attempt;
+    private final boolean model;
+    private final boolean resumed;
+    private final BooleanSupplier mayStart;
+    private final Consumer<RequestEvent> events;
+    private final SseSplitter splitter = new SseSplitter(this::event);
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
+    private boolean detached;
+    private boolean ended;
+    private boolean tokens;
+    private boolean holding;
+    private int status;
+    private Map<String, String> headers = Map.of();
+    private long nextPosition;
+    private long total = -1;
+    private String trailer = "";
+
+    ServerAnswer(
+            RequestAttempt attempt,
+            ServiceKind kind,
+            long firstPosition,
+            boolean resumed,
+            BooleanSupplier mayStart,
+            Consumer<RequestEvent> events) {
+        this.attempt = attempt;
+        this.model = kind == ServiceKind.MODEL;
+        this.nextPosition = firstPosition;
+        this.resumed = resumed;
+        this.mayStart = mayStart;
+        this.events = events;
+    }
+
+    /** From now on no events are delivered. */
+    void detach() {
+        detached = true;
+    }
+
+    @Override
+    public boolean mayStart() {
+        return resumed || (!detached && mayStart.getAsBoolean());
+    }
+
+    @Override
+    public void started() {
+        if (!resumed) {
+            deliver(new RequestEvent.SendStarted(attempt));
+        }
+    }
+
+    @Override
+    public void head(int newStatus, Map<String, String> newHeaders) {
+        status = newStatus;
+        headers = newHeaders;
+        tokens = model && newStatus == 200;
+        holding = newStatus == 409 || newStatus == 503;
+        if (!tokens) {
+            nextPosition = 0;
+        }
+        if (!holding) {
+            deliver(new RequestEvent.HeadReceived(attempt, newStatus, newHeaders));
+        }
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+        if (holding) {
+            held.writeBytes(bytes);
+            if (held.size() > MAX_DECLINED_BYTES) {
+                release();
+            }
+        } else if (tokens) {
+            try {
+                splitter.feed(bytes);
+            } catch (IllegalStateException e) {
+                last(new RequestEvent.StreamFailed(attempt, e.getMessage()));
+            }
+        } else {
+            part(bytes);
+        }
+    }
+
+    @Override
+    public void finished() {
+        if (holding) {
+            Optional<Statement> statement = statement();
+            if (statement.isPresent()) {
+                last(new RequestEvent.ServerDeclined(attempt, statement.get()));
+                return;
+            }
+            release();
+        }
+        if (tokens) {
+            // A stream whose connection ends properly but without its end mark is not complete.
+            last(new RequestEvent.ConnectionBroken(attempt));
+        } else {
+            last(new RequestEvent.AnswerEnded(attempt, nextPosition, ""));
+        }
+    }
+
+    @Override
+    public void failed(BackendFailure failure) {
+        if (failure.kind() == Kind.NOT_STARTED) {
+            last(new RequestEvent.SendAbandoned(attempt));
+        } else if (failure.execution() == Execution.NOT_SENT) {
+            last(new RequestEvent.ConnectFailed(attempt));
+        } else {
+            last(new RequestEvent.ConnectionBroken(attempt));
+        }
+    }
+
+    private void event(String data) {
+        Optional<StreamEvent> scanned = StreamEventScanner.scan(data);
+        if (scanned.isEmpty()) {
+            last(new RequestEvent.StreamFailed(attempt, "an event of the stream is not valid JSON"));
+            return;
+        }
+        StreamEvent event = scanned.get();
+        if (event.done()) {
+            last(new RequestEvent.AnswerEnded(attempt, total, trailer));
+        } else if (event.errorCode().isPresent()) {
+            last(new RequestEvent.StreamFailed(attempt, event.errorCode().get()));
+        } else {
+            if (event.token()) {
+                long position = event.position().orElse(nextPosition);
+                nextPosition = position + 1;
+                deliver(new RequestEvent.PartReceived(
+                        attempt, position, event.content().getBytes(StandardCharsets.UTF_8)));
+            }
+            if (event.finishReason().isPresent()) {
+                trailer = data;
+            }
+            total = event.completionTokens().orElse(total);
+        }
+    }
+
+    private void release() {
+        holding = false;
+        deliver(new RequestEvent.HeadReceived(attempt, status, headers));
+        part(held.toByteArray());
+        held.reset();
+    }
+
+    private void part(byte[] bytes) {
+        if (bytes.length > 0) {
+            long position = nextPosition;
+            nextPosition += bytes.length;
+            deliver(new RequestEvent.PartReceived(attempt, position, bytes));
+        }
+    }
+
+    private Optional<Statement> statement() {
+        try {
+            JsonNode root = JSON.readTree(held.toByteArray());
+            String code =
+                    root.path("code").asText(root.path("error").path("code").asText());
+            if (status == 503 && code.equals("cold")) {
+                return Optional.of(Statement.COLD);
+            }
+            return status == 409 && code.equals("fenced") ? Optional.of(Statement.FENCED) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Delivers the last event of the answer. */
+    private void last(RequestEvent event) {
+        if (!ended) {
+            deliver(event);
+            ended = true;
+        }
+    }
+
+    private void deliver(RequestEvent event) {
+        if (!detached && !ended) {
+            events.accept(event);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/entry/UsageEstimates.java
@@ -0,0 +1,55 @@
+package org.coltsfootquay.router.entry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.coltsfootquay.decision.common.ClassName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+
+/** Estimated output of requests: exponentially weighted mean by workspace and class; thread-safe. */
+public final class UsageEstimates {
+
+    private static final double WEIGHT = 0.1;
+
+    /** 290 workspaces with 14 classes each; the entry used least recently is dropped first. */
+    private static final int CAPACITY = 4_096;
+
+    private final Map<Key, Double> means = new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Double> eldest) {
+            return size() > CAPACITY;
+        }
+    };
+
+    /** Creates estimates without history. */
+    public UsageEstimates() {
+        // Entries appear with the first finished request.
+    }
+
+    /**
+     * Estimates the output of a request.
+     *
+     * @param workspace workspace
+     * @param classOfWork class
+     * @param hint the caller's hint, which is also the upper bound
+     * @return service units
+     */
+    public synchronized long estimate(WorkspaceId workspace, ClassName classOfWork, long hint) {
+        Double mean = means.get(new Key(workspace, classOfWork));
+        return mean == null ? hint : Math.min(hint, Math.round(mean));
+    }
+
+    /**
+     * Notes the output of a finished request.
+     *
+     * @param workspace workspace
+     * @param classOfWork class
+     * @param units service units
+     */
+    public synchronized void finished(WorkspaceId workspace, ClassName classOfWork, long units) {
+        means.merge(new Key(workspace, classOfWork), (double) units, (mean, last) -> mean + WEIGHT * (last - mean));
+    }
+
+    private record Key(WorkspaceId workspace, ClassName classOfWork) {}
+}
--- a/router/src/main/java/org/coltsfootquay/router/http/HttpExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/http/HttpExchange.java
@@ -44,6 +44,13 @@
      */
     Optional<String> header(String name);
 
+    /**
+     * Returns all headers.
+     *
+     * @return headers with names in lower case; values of a repeated name are joined by commas
+     */
+    Map<String, String> headers();
+
     /**
      * Returns the body.
      *
@@ -88,6 +95,9 @@
     /** Closes the connection so that an answer that was begun is seen to be incomplete. */
     void abort();
 
+    /** Closes the connection and runs the task of {@link #onDisconnect}, because the caller does not read. */
+    void abortAsGone();
+
     /**
      * Tells whether the connection takes more parts without building up a backlog.
      *
--- a/router/src/main/java/org/coltsfootquay/router/http/ServerExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/http/ServerExchange.java
@@ -16,7 +16,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -96,6 +98,15 @@
         return Optional.ofNullable(headers.get(name));
     }
 
+    @Override
+    public Map<String, String> headers() {
+        Map<String, String> all = new LinkedHashMap<>();
+        for (Map.Entry<String, String> header : headers) {
+            all.merge(header.getKey().toLowerCase(Locale.ROOT), header.getValue(), (a, b) -> a + ", " + b);
+        }
+        return all;
+    }
+
     @Override
     public byte[] body() {
         return body;
@@ -166,6 +177,11 @@
         });
     }
 
+    @Override
+    public void abortAsGone() {
+        run(() -> ChannelUtils.close(channel));
+    }
+
     @Override
     public boolean writable() {
         return channel.isWritable();
@@ -210,7 +226,7 @@
 
     private void setHeaders(HttpResponse response, Map<String, String> responseHeaders) {
         responseHeaders.forEach((name, value) -> {
-            if (!OWN_HEADERS.contains(name.toLowerCase(java.util.Locale.ROOT))) {
+            if (!OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
                 response.headers().set(name, value);
             }
         });
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerFrames.java
@@ -0,0 +1,122 @@
+package org.coltsfootquay.router.owner;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.decision.common.ClassName;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RequestId;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.dispatch.DispatchAction;
+import org.coltsfootquay.decision.dispatch.DispatchEvent;
+import org.coltsfootquay.decision.dispatch.EndReport;
+import org.coltsfootquay.decision.dispatch.InFlightEntry;
+import org.coltsfootquay.decision.dispatch.QueuedRequest;
+import org.coltsfootquay.protocol.generated.Enqueue;
+import org.coltsfootquay.protocol.generated.Finished;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.protocol.generated.Grant;
+import org.coltsfootquay.protocol.generated.InFlightRequest;
+import org.coltsfootquay.protocol.generated.Preempt;
+import org.coltsfootquay.protocol.generated.Progress;
+import org.coltsfootquay.protocol.generated.Queued;
+import org.coltsfootquay.protocol.generated.Redirect;
+import org.coltsfootquay.protocol.generated.Refuse;
+
+/** Translation between the events and actions of dispatchers and the frames exchanged with entry routers. */
+final class OwnerFrames {
+
+    private OwnerFrames() {}
+
+    static DispatchEvent.Submitted submitted(RouterId entry, Enqueue enqueue, long nowNanos) {
+        Set<ServerName> excluded = new HashSet<>();
+        enqueue.getExcludedServersList().forEach(server -> excluded.add(new ServerName(server)));
+        return new DispatchEvent.Submitted(new QueuedRequest(
+                attempt(enqueue.getRequest(), enqueue.getAttempt()),
+                entry,
+                new WorkspaceId(enqueue.getWorkspace()),
+                new ServiceName(enqueue.getService()),
+                new ClassName(enqueue.getClassOfWork()),
+                enqueue.getEstimatedInputUnits(),
+                enqueue.getEstimatedOutputUnits(),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(enqueue.getRemainingMillis()),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(enqueue.getPatienceMillis()),
+                enqueue.getPrefixHashesList(),
+                excluded,
+                enqueue.getResumed()));
+    }
+
+    static DispatchEvent progressed(Progress entry) {
+        return new DispatchEvent.Progressed(
+                attempt(entry.getRequest(), entry.getAttempt()), entry.getUnits(), entry.getWorstTokenIntervalMillis());
+    }
+
+    static DispatchEvent ended(Finished finished) {
+        return new DispatchEvent.Ended(
+                attempt(finished.getRequest(), finished.getAttempt()),
+                new EndReport(
+                        EndReport.Outcome.valueOf(finished.getOutcome().toUpperCase(Locale.ROOT)),
+                        finished.getTotalUnits(),
+                        finished.getFirstTokenMillis(),
+                        finished.getTokenIntervalP95Millis(),
+                        finished.getServerMillis()));
+    }
+
+    static List<InFlightEntry> inFlight(RouterId entry, List<InFlightRequest> requests) {
+        return requests.stream()
+                .map(request -> new InFlightEntry(
+                        attempt(request.getRequest(), request.getAttempt()),
+                        entry,
+                        new WorkspaceId(request.getWorkspace()),
+                        new ClassName(request.getClassOfWork()),
+                        request.getChargedUnits()))
+                .toList();
+    }
+
+    static RequestAttempt attempt(String request, int attempt) {
+        return new RequestAttempt(new RequestId(request), attempt);
+    }
+
+    static Optional<Frame> frame(DispatchAction action) {
+        String request = action.attempt().request().value();
+        int attempt = action.attempt().attempt();
+        Frame.Builder frame = Frame.newBuilder();
+        if (action instanceof DispatchAction.Granted granted) {
+            frame.setGrant(Grant.newBuilder()
+                    .setRequest(request)
+                    .setAttempt(attempt)
+                    .setServer(granted.server().name().value())
+                    .setAddress(granted.server().address())
+                    .setFencingNumber(granted.server().fencingNumber())
+                    .setStartWithinMillis(granted.startWithin().toMillis())
+                    .setEstimatedWaitMillis(granted.estimatedWait().toMillis()));
+        } else if (action instanceof DispatchAction.Queued queued) {
+            frame.setQueued(Queued.newBuilder()
+                    .setRequest(request)
+                    .setAttempt(attempt)
+                    .setEstimatedWaitMillis(queued.estimatedWait().toMillis()));
+        } else if (action instanceof DispatchAction.Refused refused) {
+            frame.setRefuse(Refuse.newBuilder()
+                    .setRequest(request)
+                    .setAttempt(attempt)
+                    .setCode(refused.code().label())
+                    .setRetryAfterMillis(refused.retryAfter().toMillis()));
+        } else if (action instanceof DispatchAction.Redirected redirected) {
+            frame.setRedirect(Redirect.newBuilder()
+                    .setRequest(request)
+                    .setAttempt(attempt)
+                    .setRouter(redirected.owner().value()));
+        } else if (action instanceof DispatchAction.Preempted) {
+            frame.setPreempt(Preempt.newBuilder().setRequest(request).setAttempt(attempt));
+        } else {
+            return Optional.empty();
+        }
+        return Optional.of(frame.build());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -0,0 +1,348 @@
+package org.coltsfootquay.router.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.dispatch.DispatchAction;
+import org.coltsfootquay.decision.dispatch.DispatchEvent;
+import org.coltsfootquay.decision.dispatch.Dispatcher;
+import org.coltsfootquay.decision.dispatch.LoadReport;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.fairness.UsageIncrement;
+import org.coltsfootquay.decision.ownership.OwnedServer;
+import org.coltsfootquay.decision.ownership.OwnedServers;
+import org.coltsfootquay.protocol.generated.Enqueue;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.protocol.generated.Probe;
+import org.coltsfootquay.protocol.generated.ProbeReply;
+import org.coltsfootquay.protocol.generated.Refuse;
+
+/**
+ * Owner side of a router: the dispatchers of all services on one thread.
+ *
+ * <p>All methods may be called from any thread; they hand the work to the dispatch thread.
+ */
+public final class OwnerRouter {
+
+    private final Function<ServiceName, Dispatcher> factory;
+    private final BiConsumer<RouterId, Frame> frames;
+    private final LongSupplier clock;
+    private final DispatchThread thread;
+    private final Map<ServiceName, Dispatcher> dispatchers = new TreeMap<>();
+    private OwnedServers owned = new OwnedServers(List.of());
+    private ServiceTotals totals = ServiceTotals.TOPIC.initial();
+    private FleetConfiguration configuration = FleetConfiguration.none();
+    private boolean stopping;
+
+    /**
+     * Creates an owner without dispatchers; they appear with the services of the configuration.
+     *
+     * @param name prefix of the thread name
+     * @param factory creates the dispatcher of a service
+     * @param frames sends a frame to an entry router; called on the dispatch thread
+     * @param clock monotonic clock in nanoseconds
+     */
+    public OwnerRouter(
+            String name,
+            Function<ServiceName, Dispatcher> factory,
+            BiConsumer<RouterId, Frame> frames,
+            LongSupplier clock) {
+        this.factory = factory;
+        this.frames = frames;
+        this.clock = clock;
+        this.thread = new DispatchThread(name + "-dispatch", this::tick);
+    }
+
+    /** Starts the dispatch thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Ends the dispatch thread; later events are dropped. */
+    public void close() {
+        thread.stop();
+    }
+
+    /**
+     * Takes a frame of an entry router or of another owner.
+     *
+     * @param from sender
+     * @param frame frame
+     * @return false when the frame is not for an owner
+     */
+    public boolean frameReceived(RouterId from, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case ENQUEUE -> enqueue(from, frame.getEnqueue());
+            case WITHDRAW ->
+                toAll(new DispatchEvent.Withdrawn(OwnerFrames.attempt(
+                        frame.getWithdraw().getRequest(), frame.getWithdraw().getAttempt())));
+            case STARTED ->
+                toAll(new DispatchEvent.SendStarted(OwnerFrames.attempt(
+                        frame.getStarted().getRequest(), frame.getStarted().getAttempt())));
+            case PROGRESS ->
+                frame.getProgress().getEntriesList().forEach(entry -> toAll(OwnerFrames.progressed(entry)));
+            case FINISHED -> toAll(OwnerFrames.ended(frame.getFinished()));
+            case IN_FLIGHT ->
+                inFlight(
+                        new ServerName(frame.getInFlight().getServer()),
+                        () -> new DispatchEvent.InFlightReported(
+                                new ServerName(frame.getInFlight().getServer()),
+                                OwnerFrames.inFlight(from, frame.getInFlight().getRequestsList())));
+            case PROBE -> probe(from, frame.getProbe());
+            case PROBE_REPLY ->
+                idleOwner(
+                        new ServiceName(frame.getProbeReply().getService()),
+                        from,
+                        frame.getProbeReply().getFreeSlots(),
+                        frame.getProbeReply().getQueueLength());
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Drops the waiting requests of an entry router whose connection was lost.
+     *
+     * @param entry entry router
+     */
+    public void entryLost(RouterId entry) {
+        toAll(new DispatchEvent.EntryLost(entry));
+    }
+
+    /**
+     * Takes a new list of owned servers.
+     *
+     * @param servers servers of all services
+     */
+    public void ownedServers(OwnedServers servers) {
+        post(() -> {
+            owned = servers;
+            dispatchers.forEach((service, dispatcher) -> run(dispatcher, serversOf(service)));
+        });
+    }
+
+    /**
+     * Takes a new configuration.
+     *
+     * @param newConfiguration configuration
+     */
+    public void configuration(FleetConfiguration newConfiguration) {
+        post(() -> {
+            configuration = newConfiguration;
+            newConfiguration.services().keySet().forEach(this::dispatcher);
+            dispatchers
+                    .values()
+                    .forEach(dispatcher -> run(dispatcher, new DispatchEvent.ConfigurationChanged(newConfiguration)));
+        });
+    }
+
+    /**
+     * Takes new totals.
+     *
+     * @param newTotals totals of all services
+     */
+    public void totals(ServiceTotals newTotals) {
+        post(() -> {
+            totals = newTotals;
+            dispatchers.values().forEach(dispatcher -> run(dispatcher, new DispatchEvent.TotalsChanged(newTotals)));
+        });
+    }
+
+    /**
+     * Takes the load of a server.
+     *
+     * @param service service of the server
+     * @param server server
+     * @param report load
+     */
+    public void loadReported(ServiceName service, ServerName server, LoadReport report) {
+        post(() -> {
+            Dispatcher dispatcher = dispatchers.get(service);
+            if (dispatcher != null) {
+                run(dispatcher, new DispatchEvent.LoadReported(server, report));
+            }
+        });
+    }
+
+    /** Begins the planned stop: queues are redirected or refused. */
+    public void beginStop() {
+        post(() -> {
+            stopping = true;
+            dispatchers.values().forEach(dispatcher -> run(dispatcher, new DispatchEvent.StopBegun()));
+        });
+    }
+
+    /**
+     * Drains the usage counters of all services.
+     *
+     * @param receiver receives them with the loads, on the dispatch thread
+     */
+    public void drainUsage(Consumer<Usage> receiver) {
+        post(() -> {
+            List<UsageIncrement> increments = new ArrayList<>();
+            Map<ServiceName, ServiceTotals.OwnerLoad> loads = new TreeMap<>();
+            long now = clock.getAsLong();
+            dispatchers.forEach((service, dispatcher) -> {
+                increments.addAll(dispatcher.drainUsage());
+                loads.put(service, dispatcher.load(now));
+            });
+            receiver.accept(new Usage(increments, loads));
+        });
+    }
+
+    /**
+     * Reads the loads of all services.
+     *
+     * @return loads, completed on the dispatch thread
+     */
+    public CompletableFuture<Map<ServiceName, ServiceTotals.OwnerLoad>> loads() {
+        CompletableFuture<Map<ServiceName, ServiceTotals.OwnerLoad>> result = new CompletableFuture<>();
+        post(() -> {
+            Map<ServiceName, ServiceTotals.OwnerLoad> loads = new TreeMap<>();
+            long now = clock.getAsLong();
+            dispatchers.forEach((service, dispatcher) -> loads.put(service, dispatcher.load(now)));
+            result.complete(loads);
+        });
+        return result;
+    }
+
+    /**
+     * Service charged and loads of one moment.
+     *
+     * @param increments service charged since the last drain
+     * @param loads load by service
+     */
+    public record Usage(List<UsageIncrement> increments, Map<ServiceName, ServiceTotals.OwnerLoad> loads) {}
+
+    private void enqueue(RouterId from, Enqueue enqueue) {
+        boolean queued = thread.execute(() -> {
+            DispatchEvent.Submitted submitted = OwnerFrames.submitted(from, enqueue, clock.getAsLong());
+            ServiceName service = submitted.request().service();
+            if (dispatchers.containsKey(service)) {
+                run(dispatchers.get(service), submitted);
+            } else {
+                refuse(from, enqueue, "not_owner");
+            }
+        });
+        if (!queued) {
+            refuse(from, enqueue, "workspace_queue_full");
+        }
+    }
+
+    private void refuse(RouterId entry, Enqueue enqueue, String code) {
+        frames.accept(
+                entry,
+                Frame.newBuilder()
+                        .setRefuse(Refuse.newBuilder()
+                                .setRequest(enqueue.getRequest())
+                                .setAttempt(enqueue.getAttempt())
+                                .setCode(code)
+                                .setRetryAfterMillis(1000))
+                        .build());
+    }
+
+    private void inFlight(ServerName server, Supplier<DispatchEvent> event) {
+        post(() -> owned.servers().stream()
+                .filter(entry -> entry.name().equals(server))
+                .map(OwnedServer::service)
+                .findFirst()
+                .map(dispatchers::get)
+                .ifPresent(dispatcher -> run(dispatcher, event.get())));
+    }
+
+    private void probe(RouterId from, Probe probe) {
+        ServiceName service = new ServiceName(probe.getService());
+        post(() -> {
+            Dispatcher dispatcher = dispatchers.get(service);
+            if (dispatcher == null) {
+                return;
+            }
+            if (probe.getFreeSlots() > 0 && probe.getQueueLength() == 0) {
+                run(dispatcher, new DispatchEvent.IdleOwnerFound(from, probe.getFreeSlots()));
+            }
+            ServiceTotals.OwnerLoad load = dispatcher.load(clock.getAsLong());
+            frames.accept(
+                    from,
+                    Frame.newBuilder()
+                            .setProbeReply(ProbeReply.newBuilder()
+                                    .setService(service.value())
+                                    .setFreeSlots(load.freeSlots())
+                                    .setQueueLength(load.queueLength())
+                                    .setOldestWaitMillis(load.oldestWaitMillis()))
+                            .build());
+        });
+    }
+
+    private void idleOwner(ServiceName service, RouterId owner, int freeSlots, int queueLength) {
+        if (freeSlots > 0 && queueLength == 0) {
+            post(() -> {
+                Dispatcher dispatcher = dispatchers.get(service);
+                if (dispatcher != null) {
+                    run(dispatcher, new DispatchEvent.IdleOwnerFound(owner, freeSlots));
+                }
+            });
+        }
+    }
+
+    /** Attempts are unknown to all dispatchers but one, which ignore them; there are few services. */
+    private void toAll(DispatchEvent event) {
+        post(() -> dispatchers.values().forEach(dispatcher -> run(dispatcher, event)));
+    }
+
+    private boolean tick() {
+        boolean waiting = false;
+        long now = clock.getAsLong();
+        for (Dispatcher dispatcher : dispatchers.values()) {
+            run(dispatcher, new DispatchEvent.Ticked());
+            waiting |= dispatcher.load(now).queueLength() > 0;
+        }
+        return waiting;
+    }
+
+    private void dispatcher(ServiceName service) {
+        if (dispatchers.containsKey(service)) {
+            return;
+        }
+        Dispatcher created = factory.apply(service);
+        dispatchers.put(service, created);
+        run(created, new DispatchEvent.ConfigurationChanged(configuration));
+        run(created, serversOf(service));
+        run(created, new DispatchEvent.TotalsChanged(totals));
+        if (stopping) {
+            run(created, new DispatchEvent.StopBegun());
+        }
+    }
+
+    private DispatchEvent serversOf(ServiceName service) {
+        return new DispatchEvent.ServersChanged(owned.servers().stream()
+                .filter(server -> server.service().equals(service))
+                .toList());
+    }
+
+    private void run(Dispatcher dispatcher, DispatchEvent event) {
+        for (DispatchAction action : dispatcher.handle(event, clock.getAsLong())) {
+            Optional<Frame> frame = OwnerFrames.frame(action);
+            if (frame.isPresent()) {
+                frames.accept(action.entry(), frame.get());
+            }
+        }
+    }
+
+    private void post(Runnable task) {
+        thread.execute(task);
+    }
+}
