Return a connection to the pool before the answer ends; drop frames behind a refused one

Cause: two tests failed on a busy machine. The end of an answer was announced before its connection was in the pool, so the next request opened another one. A frame read together with the hello of an older incarnation was still passed on. Change: the pool gets the connection first; a connection that is being closed passes no frame on. Conclusion: both faults were in the product, not in the tests.

--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -172,12 +172,16 @@
                 ChannelUtils.close(channel);
                 return;
             }
-            boolean keepAlive = exchange.received(part) && exchange.keepsAlive();
-            if (keepAlive) {
+            BackendExchange current = exchange;
+            boolean complete = current.received(part);
+            if (complete && current.keepsAlive()) {
                 release();
-            } else if (exchange.hasEnded()) {
+            } else if (current.hasEnded()) {
                 ChannelUtils.close(channel);
             }
+            if (complete) {
+                current.notifyFinished();
+            }
         }
 
         @Override
--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
@@ -93,7 +93,7 @@
         return true;
     }
 
-    /** Handles a part of the answer; true when the answer is complete. */
+    /** Handles a part of the answer; true when the answer is complete and {@link #notifyFinished} must follow. */
     boolean received(HttpObject part) {
         if (ended) {
             return false;
@@ -113,13 +113,17 @@
             }
             if (part instanceof LastHttpContent && !ended) {
                 end();
-                handler.finished();
                 return true;
             }
         }
         return false;
     }
 
+    /** Tells the handler that the answer is complete; the connection is in the pool or closed by then. */
+    void notifyFinished() {
+        handler.finished();
+    }
+
     boolean hasEnded() {
         return ended;
     }
--- a/router/src/main/java/org/coltsfootquay/router/peer/PeerChannelHandler.java
+++ b/router/src/main/java/org/coltsfootquay/router/peer/PeerChannelHandler.java
@@ -37,6 +37,7 @@
     private PeerIdentity peer;
     private String closeReason = "connection closed by the peer";
     private boolean idleClose;
+    private boolean closing;
     private long lastReadNanos = System.nanoTime();
     private Future<?> helloTimer;
     private Future<?> checkTimer;
@@ -63,7 +64,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
-        if (peer != null && network.isCutOff(peer.router())) {
+        // Frames that were read together with a refused one are still passed on by the frame decoder.
+        if (closing || (peer != null && network.isCutOff(peer.router()))) {
             return;
         }
         int size = bytes.readableBytes();
@@ -147,6 +149,7 @@
         long period = network.limits().probeAfter().toNanos() / 2;
         checkTimer = ctx.executor().scheduleAtFixedRate(() -> check(ctx), period, period, TimeUnit.NANOSECONDS);
         if (!network.established(ctx.channel(), link, peer)) {
+            closing = true;
             closeReason = "a newer incarnation of the router is connected";
             ChannelUtils.close(ctx.channel());
         }
@@ -216,6 +219,7 @@
         if (!ctx.channel().isActive()) {
             return;
         }
+        closing = true;
         closeReason = reason;
         network.refused(ctx.channel(), peer, reason);
         ChannelUtils.close(ctx.channel());
