Add fair order policies, preemption and handover to the dispatcher

Cause: all policies ordered by arrival. Change: weighted fair queueing with weights from fleet totals, reserved capacity first, earliest eligible deadline, preemption planned from the completion rate, handover state, orphaned and handed-over flights. Service is charged by its estimate at the grant and settled at the end, so that the control loop does not contain the request length. The limit grows only after samples within the target. Conclusion: the three policies can be selected by name.

--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/DispatchEvent.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/DispatchEvent.java
@@ -86,6 +86,13 @@
      */
     record InFlightReported(ServerName server, List<InFlightEntry> requests) implements DispatchEvent {}
 
+    /**
+     * The former owner of a server handed it over in a planned way.
+     *
+     * @param state limit and requests in flight
+     */
+    record HandedOver(HandoverState state) implements DispatchEvent {}
+
     /**
      * New fleet totals arrived.
      *
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/FifoOrder.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/FifoOrder.java
@@ -1,7 +1,10 @@
 package org.coltsfootquay.decision.dispatch;
 
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
@@ -45,12 +48,12 @@
     }
 
     @Override
-    public void corrected(WorkspaceQueue queue, long differenceUnits) {
+    public void corrected(WorkspaceQueue queue, long differenceUnits, long nowNanos) {
         // The order of arrival does not depend on service received.
     }
 
     @Override
-    public void charged(WorkspaceQueue queue, long units) {
+    public void redirected(WorkspaceQueue queue, long estimatedUnits, long nowNanos) {
         // The order of arrival does not depend on service received.
     }
 
@@ -63,4 +66,14 @@
     public double grantsAhead(WorkspaceQueue queue, long nowNanos) {
         return waiting + 1.0;
     }
+
+    @Override
+    public List<WorkspaceQueue> reservedQueues(int largest, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public Iterator<WorkspaceQueue> overServed(long nowNanos) {
+        return Collections.emptyIterator();
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/Flight.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/Flight.java
@@ -15,6 +15,8 @@
         STARTED,
         /** The grant was taken back because no send was reported in time. */
         LAPSED,
+        /** The server went to another owner, which follows the request from now on. */
+        HANDED_OVER,
         /** The connection to the entry router was lost. */
         ORPHANED,
         /** The owner asked the entry router to cancel it. */
@@ -28,27 +30,55 @@
     final ServerSlots server;
     final long grantedNanos;
     final long estimatedUnits;
+
+    /** Whether the stream may be cancelled and continued elsewhere; false for non-idempotent classes. */
+    final boolean preemptible;
+
+    /** Input units of a resumed request: they were charged to its first attempt and are not charged again. */
+    final long freeUnits;
+
     Stage stage;
+
+    /** Service charged: the estimate, until more was produced. */
     long chargedUnits;
+
+    /** Service reported as produced. */
+    long producedUnits;
+
     long stageNanos;
 
-    Flight(
-            RequestAttempt attempt,
-            RouterId entry,
-            ClassName classOfWork,
-            WorkspaceQueue queue,
-            ServerSlots server,
-            long estimatedUnits,
-            Stage stage,
-            long nowNanos) {
-        this.attempt = attempt;
-        this.entry = entry;
-        this.classOfWork = classOfWork;
+    Flight(QueuedRequest request, WorkspaceQueue queue, ServerSlots server, boolean preemptible, long nowNanos) {
+        this.attempt = request.attempt();
+        this.entry = request.entry();
+        this.classOfWork = request.classOfWork();
+        this.queue = queue;
+        this.server = server;
+        this.preemptible = preemptible;
+        this.freeUnits = request.resumed() ? request.estimatedInputUnits() : 0;
+        this.estimatedUnits = request.estimatedUnits() - freeUnits;
+        this.stage = Stage.GRANTED;
+        this.grantedNanos = nowNanos;
+        this.stageNanos = nowNanos;
+    }
+
+    /** Request that a former owner granted. */
+    Flight(InFlightEntry entry, WorkspaceQueue queue, ServerSlots server, long nowNanos) {
+        this.attempt = entry.attempt();
+        this.entry = entry.entry();
+        this.classOfWork = entry.classOfWork();
         this.queue = queue;
         this.server = server;
-        this.estimatedUnits = estimatedUnits;
-        this.stage = stage;
+        this.preemptible = false;
+        this.freeUnits = 0;
+        this.estimatedUnits = entry.chargedUnits();
+        this.chargedUnits = entry.chargedUnits();
+        this.stage = Stage.STARTED;
         this.grantedNanos = nowNanos;
         this.stageNanos = nowNanos;
     }
+
+    /** Tells whether the request counts among the requests in flight on its server. */
+    boolean holdsSlot() {
+        return stage != Stage.LAPSED && stage != Stage.HANDED_OVER;
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/OrderPolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/OrderPolicy.java
@@ -1,6 +1,8 @@
 package org.coltsfootquay.decision.dispatch;
 
 import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 
 /**
@@ -44,20 +46,22 @@
     void granted(WorkspaceQueue queue, long estimatedUnits, long nowNanos);
 
     /**
-     * The service of a granted request turned out different from its estimate.
+     * The service of a granted request turned out different from what was counted, or the grant was taken back.
      *
      * @param queue queue
-     * @param differenceUnits actual minus estimated service
+     * @param differenceUnits actual minus counted service
+     * @param nowNanos current time
      */
-    void corrected(WorkspaceQueue queue, long differenceUnits);
+    void corrected(WorkspaceQueue queue, long differenceUnits, long nowNanos);
 
     /**
-     * Service was charged to a workspace.
+     * A waiting request was sent to another owner, where its service will count.
      *
      * @param queue queue
-     * @param units service units
+     * @param estimatedUnits estimated service of the request
+     * @param nowNanos current time
      */
-    void charged(WorkspaceQueue queue, long units);
+    void redirected(WorkspaceQueue queue, long estimatedUnits, long nowNanos);
 
     /**
      * New fleet totals arrived.
@@ -75,4 +79,21 @@
      * @return number of requests, not negative
      */
     double grantsAhead(WorkspaceQueue queue, long nowNanos);
+
+    /**
+     * Returns queues with a waiting request whose workspace consumes less than its reserved rate.
+     *
+     * @param largest largest number to return
+     * @param nowNanos current time
+     * @return queues, earliest deadline first
+     */
+    List<WorkspaceQueue> reservedQueues(int largest, long nowNanos);
+
+    /**
+     * Returns workspaces with requests in flight that may give up a stream to reserved capacity.
+     *
+     * @param nowNanos current time
+     * @return queues, the most over-served workspace first
+     */
+    Iterator<WorkspaceQueue> overServed(long nowNanos);
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerSlots.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerSlots.java
@@ -1,5 +1,7 @@
 package org.coltsfootquay.decision.dispatch;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.coltsfootquay.decision.limit.ServerLimit;
 import org.coltsfootquay.decision.ownership.OwnedServer;
 
@@ -11,6 +13,9 @@
     boolean owned = true;
     int inFlight;
 
+    /** Requests whose entry router was lost. */
+    final Set<Flight> orphans = new LinkedHashSet<>();
+
     /** Key of the present position in the pool; changes only while the server is out of the pool. */
     private double poolKey;
 
@@ -46,6 +51,10 @@
         return owned && server.admitting() ? Math.max(0, capacity() - inFlight) : 0;
     }
 
+    ServerState state() {
+        return new ServerState(server.name(), inFlight, capacity(), limit.ramping(), server.admitting());
+    }
+
     void rank() {
         int capacity = capacity();
         poolKey = capacity == 0 ? Double.MAX_VALUE : (double) inFlight / capacity;
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -2,26 +2,24 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.TreeSet;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RequestAttempt;
-import org.coltsfootquay.decision.common.RequestId;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.configuration.ClassOfWork;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.configuration.ServiceKind;
 import org.coltsfootquay.decision.configuration.Workspace;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.UsageIncrement;
@@ -29,7 +27,14 @@
 import org.coltsfootquay.decision.limit.ServerLimit;
 import org.coltsfootquay.decision.ownership.OwnedServer;
 
-/** Queue of one service at an owner. */
+/**
+ * Queue of one service at an owner.
+ *
+ * <p>A request moves from the queue of its workspace to a flight on a server, and the flight ends when the entry router
+ * reports the end, takes the grant back, or stays silent for too long. Each decision takes time logarithmic in the
+ * numbers of waiting requests, workspaces and servers; only new totals, a new configuration and a new list of servers
+ * take linear time.
+ */
 public final class ServiceDispatcher implements Dispatcher {
 
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -40,37 +45,35 @@
     /** Time for which a grant that was taken back is remembered, in case its send started in time after all. */
     private static final long LAPSED_MEMORY_NANOS = 10_000 * NANOS_PER_MILLI;
 
+    /** Time for which requests on a server that went to another owner are remembered. */
+    private static final long HANDED_OVER_MEMORY_NANOS = 600_000 * NANOS_PER_MILLI;
+
+    /** Limits change at most once a second, so they are looked at less often than the queue. */
+    private static final long LIMIT_TICK_NANOS = 250 * NANOS_PER_MILLI;
+
+    private static final double MEAN_WEIGHT = 0.05;
     private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
 
     private final ServiceName service;
     private final RouterId self;
     private final OrderPolicy policy;
+    private final PreemptionPlanner preemption;
     private final DispatchSettings settings;
     private final LimitSettings limitSettings;
 
     private final ServerPool pool = new ServerPool();
     private final Map<WorkspaceId, WorkspaceQueue> queues = new HashMap<>();
-    private final Map<RequestId, WaitingRequest> waiting = new HashMap<>();
-    private final Map<RequestAttempt, Flight> flights = new HashMap<>();
-    private final Map<RouterId, Set<WaitingRequest>> waitingByEntry = new HashMap<>();
-    private final Map<RouterId, Set<Flight>> flightsByEntry = new HashMap<>();
-    private final TreeSet<WaitingRequest> byArrival = new TreeSet<>(WaitingRequest.BY_ARRIVAL);
-    private final TreeSet<WaitingRequest> byPatience =
-            new TreeSet<>(Comparator.<WaitingRequest>comparingLong(entry -> entry.request.patienceEndNanos())
-                    .thenComparingLong(entry -> entry.sequence));
-
-    /** Stages that end by themselves; an entry is skipped when its flight has left the stage. */
-    private final PriorityQueue<StageEnd> stageEnds = new PriorityQueue<>(Comparator.comparingLong(StageEnd::dueNanos));
-
-    private final Set<WorkspaceQueue> drained = new LinkedHashSet<>();
+    private final WaitingIndex waiting = new WaitingIndex();
+    private final FlightIndex flights = new FlightIndex();
+    private final Set<WorkspaceQueue> undrained = new LinkedHashSet<>();
+    private final RedirectTargets redirectTargets = new RedirectTargets();
     private FleetConfiguration configuration = FleetConfiguration.none();
-    private List<ServiceTotals.OwnerLoad> otherOwners = List.of();
     private double meanServerSeconds;
+    private double meanFirstTokenMillis;
     private long nextSequence;
+    private long limitTickNanos;
     private boolean stopping;
 
-    private record StageEnd(Flight flight, Flight.Stage stage, long dueNanos) {}
-
     /**
      * Creates a dispatcher with the figures of the design page.
      *
@@ -102,6 +105,7 @@
         this.settings = ArgumentUtils.requireValue(settings, "settings");
         this.limitSettings = ArgumentUtils.requireValue(limitSettings, "limit settings");
         this.policy = create(ArgumentUtils.requireValue(policy, "policy"));
+        this.preemption = new PreemptionPlanner(this.policy);
     }
 
     @Override
@@ -122,11 +126,13 @@
         } else if (event instanceof DispatchEvent.ServersChanged changed) {
             serversChanged(changed.servers(), nowNanos, actions);
         } else if (event instanceof DispatchEvent.ConfigurationChanged changed) {
-            configurationChanged(changed.configuration(), nowNanos, actions);
+            configurationChanged(changed.configuration(), nowNanos);
         } else if (event instanceof DispatchEvent.LoadReported reported) {
             loadReported(reported.server(), reported.report(), nowNanos);
         } else if (event instanceof DispatchEvent.InFlightReported reported) {
             inFlightReported(reported.server(), reported.requests(), nowNanos);
+        } else if (event instanceof DispatchEvent.HandedOver handedOver) {
+            handedOver(handedOver.state(), nowNanos);
         } else if (event instanceof DispatchEvent.TotalsChanged changed) {
             totalsChanged(changed.totals(), nowNanos);
         } else if (event instanceof DispatchEvent.IdleOwnerFound idle) {
@@ -138,16 +144,19 @@
             tick(nowNanos, actions);
         }
         grantAll(nowNanos, actions);
+        preempt(nowNanos, actions);
         return actions;
     }
 
     @Override
     public List<UsageIncrement> drainUsage() {
-        List<UsageIncrement> increments = new ArrayList<>(drained.size());
-        for (Iterator<WorkspaceQueue> iterator = drained.iterator(); iterator.hasNext(); ) {
+        List<UsageIncrement> increments = new ArrayList<>(undrained.size());
+        for (Iterator<WorkspaceQueue> iterator = undrained.iterator(); iterator.hasNext(); ) {
             WorkspaceQueue queue = iterator.next();
-            increments.add(new UsageIncrement(queue.workspace, service, queue.undrainedUnits, !queue.isEmpty()));
+            boolean backlogged = queue.waitedSinceDrain || !queue.isEmpty();
+            increments.add(new UsageIncrement(queue.workspace, service, queue.undrainedUnits, backlogged));
             queue.undrainedUnits = 0;
+            queue.waitedSinceDrain = false;
             if (queue.isEmpty()) {
                 iterator.remove();
             }
@@ -157,13 +166,48 @@
 
     @Override
     public ServiceTotals.OwnerLoad load(long nowNanos) {
-        long oldest = byArrival.isEmpty() ? 0 : (nowNanos - byArrival.first().arrivedNanos) / NANOS_PER_MILLI;
-        return new ServiceTotals.OwnerLoad(self, stopping ? 0 : pool.freeSlots(), byArrival.size(), oldest);
+        WaitingRequest oldest = waiting.oldest();
+        long wait = oldest == null ? 0 : (nowNanos - oldest.arrivedNanos) / NANOS_PER_MILLI;
+        return new ServiceTotals.OwnerLoad(self, stopping ? 0 : pool.freeSlots(), waiting.size(), wait);
+    }
+
+    /**
+     * Returns the state of the owned servers.
+     *
+     * @return states, in the order in which the servers became owned
+     */
+    public List<ServerState> servers() {
+        return pool.all().stream().map(ServerSlots::state).toList();
+    }
+
+    /**
+     * Returns what the next owner of a server needs to know.
+     *
+     * @param server server
+     * @return state, or empty when the server is not owned
+     */
+    public Optional<HandoverState> handover(ServerName server) {
+        return Optional.ofNullable(pool.get(server)).map(slots -> {
+            List<InFlightEntry> requests = flights.on(slots).stream()
+                    .filter(Flight::holdsSlot)
+                    .map(flight -> new InFlightEntry(
+                            flight.attempt,
+                            flight.entry,
+                            flight.queue.workspace,
+                            flight.classOfWork,
+                            flight.chargedUnits))
+                    .toList();
+            boolean cold = slots.limit.ramping();
+            double limit = cold ? Math.max(1, slots.limit.formerLimit()) : slots.limit.limit();
+            return new HandoverState(server, limit, cold, requests);
+        });
     }
 
     private static OrderPolicy create(PolicyName name) {
         return switch (name) {
-            case FIFO, FLEET, PER_ROUTER -> new FifoOrder();
+            case FLEET -> new FairOrder(true);
+            case PER_ROUTER -> new FairOrder(false);
+            case FIFO -> new FifoOrder();
         };
     }
 
@@ -179,12 +223,14 @@
             refuse(request, RefusalCode.NOT_OWNER, Duration.ZERO, actions);
         } else if (!request.resumed() && queue.size() >= queueBound(queue, now)) {
             refuse(request, RefusalCode.WORKSPACE_QUEUE_FULL, wait, actions);
-        } else if (now + wait.toNanos() > request.patienceEndNanos() && !request.resumed()) {
+        } else if (!request.resumed() && now + wait.toNanos() > request.patienceEndNanos()) {
             long excess = now + wait.toNanos() - request.patienceEndNanos();
             refuse(request, RefusalCode.PATIENCE_EXCEEDED, Duration.ofNanos(excess), actions);
         } else {
-            enqueue(request, queue, now);
-            if (pool.freeSlots() == 0) {
+            WaitingRequest entry = enqueue(request, queue, now);
+            grantAll(now, actions);
+            if (waiting.get(request.attempt().request()) == entry) {
+                queue.waitedSinceDrain = true;
                 actions.add(new DispatchAction.Queued(request.entry(), request.attempt(), wait));
             }
         }
@@ -220,24 +266,17 @@
         return flight.stage != Flight.Stage.LAPSED;
     }
 
-    private void enqueue(QueuedRequest request, WorkspaceQueue queue, long now) {
+    private WaitingRequest enqueue(QueuedRequest request, WorkspaceQueue queue, long now) {
         WaitingRequest entry = new WaitingRequest(request, queue, nextSequence++, now);
-        waiting.put(request.attempt().request(), entry);
-        waitingByEntry
-                .computeIfAbsent(request.entry(), router -> new LinkedHashSet<>())
-                .add(entry);
-        byArrival.add(entry);
-        byPatience.add(entry);
+        waiting.add(entry);
         queue.add(entry);
-        drained.add(queue);
+        undrained.add(queue);
         policy.queueChanged(queue, now);
+        return entry;
     }
 
     private void dequeue(WaitingRequest entry, long now) {
-        waiting.remove(entry.request.attempt().request());
-        removeFrom(waitingByEntry, entry.request.entry(), entry);
-        byArrival.remove(entry);
-        byPatience.remove(entry);
+        waiting.remove(entry);
         entry.queue.remove(entry);
         policy.queueChanged(entry.queue, now);
     }
@@ -268,19 +307,15 @@
     private void grant(WaitingRequest entry, ServerSlots server, long now, List<DispatchAction> actions) {
         QueuedRequest request = entry.request;
         dequeue(entry, now);
-        Flight flight = new Flight(
-                request.attempt(),
-                request.entry(),
-                request.classOfWork(),
-                entry.queue,
-                server,
-                request.estimatedUnits(),
-                Flight.Stage.GRANTED,
-                now);
-        addFlight(flight);
+        ClassOfWork work = configuration.classes().get(request.classOfWork());
+        boolean preemptible = server.server.kind() == ServiceKind.MODEL && (work == null || work.idempotent());
+        Flight flight = new Flight(request, entry.queue, server, preemptible, now);
+        flights.add(flight);
+        occupy(flight, 1);
         enterStage(flight, Flight.Stage.GRANTED, now);
         entry.queue.grantRate.add(1, now);
-        policy.granted(entry.queue, request.estimatedUnits(), now);
+        policy.granted(entry.queue, flight.estimatedUnits, now);
+        addCharge(flight, flight.estimatedUnits);
         actions.add(new DispatchAction.Granted(
                 request.entry(),
                 request.attempt(),
@@ -289,39 +324,42 @@
                 estimatedWait(entry.queue, now)));
     }
 
-    private void addFlight(Flight flight) {
-        flights.put(flight.attempt, flight);
-        flightsByEntry
-                .computeIfAbsent(flight.entry, router -> new LinkedHashSet<>())
-                .add(flight);
-        occupy(flight, 1);
+    private void preempt(long now, List<DispatchAction> actions) {
+        if (pool.freeSlots() > 0 || stopping) {
+            return;
+        }
+        double perSecond = meanServerSeconds == 0 ? 0 : pool.capacity() / meanServerSeconds;
+        for (Flight victim : preemption.plan(perSecond, (long) (2 * meanFirstTokenMillis * NANOS_PER_MILLI), now)) {
+            enterStage(victim, Flight.Stage.PREEMPTED, now);
+            actions.add(new DispatchAction.Preempted(victim.entry, victim.attempt));
+        }
     }
 
     private void occupy(Flight flight, int change) {
-        flight.queue.inFlight += change;
-        flight.server.inFlight += change;
-        flight.server.limit.occupied(flight.server.inFlight, flight.server.freeSlots() == 0);
-        pool.update(flight.server);
-    }
-
-    private void forget(Flight flight) {
-        flights.remove(flight.attempt);
-        removeFrom(flightsByEntry, flight.entry, flight);
+        if (change > 0) {
+            flight.queue.flights.add(flight);
+        } else {
+            flight.queue.flights.remove(flight);
+            flight.server.orphans.remove(flight);
+        }
+        ServerSlots server = flight.server;
+        server.inFlight += change;
+        server.limit.occupied(server.inFlight, server.freeSlots() == 0);
+        pool.update(server);
     }
 
     private void enterStage(Flight flight, Flight.Stage stage, long now) {
         flight.stage = stage;
         flight.stageNanos = now;
-        long duration = 0;
-        if (stage == Flight.Stage.GRANTED) {
-            duration = settings.startWithin().plus(settings.startMargin()).toNanos();
-        } else if (stage == Flight.Stage.LAPSED) {
-            duration = LAPSED_MEMORY_NANOS;
-        } else if (stage == Flight.Stage.ORPHANED || stage == Flight.Stage.PREEMPTED) {
-            duration = settings.orphanTimeout().toNanos();
-        }
+        long duration = switch (stage) {
+            case GRANTED -> settings.startWithin().plus(settings.startMargin()).toNanos();
+            case LAPSED -> LAPSED_MEMORY_NANOS;
+            case HANDED_OVER -> HANDED_OVER_MEMORY_NANOS;
+            case ORPHANED, PREEMPTED -> settings.orphanTimeout().toNanos();
+            case STARTED -> 0;
+        };
         if (duration > 0) {
-            stageEnds.add(new StageEnd(flight, stage, now + duration));
+            flights.endStageAt(flight, now + duration);
         }
     }
 
@@ -347,8 +385,9 @@
     /** A grant that was taken back holds a slot again when its send turns out to have started. */
     private void markRunning(Flight flight, long now) {
         if (flight.stage == Flight.Stage.LAPSED) {
-            policy.granted(flight.queue, flight.estimatedUnits, now);
             occupy(flight, 1);
+            policy.corrected(flight.queue, flight.estimatedUnits, now);
+            addCharge(flight, flight.estimatedUnits);
         }
         if (flight.stage == Flight.Stage.GRANTED || flight.stage == Flight.Stage.LAPSED) {
             enterStage(flight, Flight.Stage.STARTED, now);
@@ -361,7 +400,11 @@
             return;
         }
         markRunning(flight, now);
-        charge(flight, progressed.units());
+        flight.producedUnits += progressed.units();
+        long beyondEstimate = flight.producedUnits - flight.freeUnits - flight.chargedUnits;
+        if (beyondEstimate > 0) {
+            settle(flight, beyondEstimate, now);
+        }
         flight.server.limit.tokenInterval(progressed.worstTokenIntervalMillis(), tokenTarget(flight), now);
         pool.update(flight.server);
     }
@@ -375,44 +418,45 @@
         ServerLimit limit = flight.server.limit;
         switch (report.outcome()) {
             case COMPLETED -> {
-                double seconds = report.serverMillis() / 1e3;
-                meanServerSeconds = meanServerSeconds == 0 ? seconds : 0.95 * meanServerSeconds + 0.05 * seconds;
+                meanServerSeconds = mean(meanServerSeconds, report.serverMillis() / 1e3);
+                meanFirstTokenMillis = mean(meanFirstTokenMillis, report.firstTokenMillis());
                 limit.completed(flight.classOfWork, report.serverMillis(), now);
             }
             case FAILED, BROKEN -> limit.failed(now);
             case COLD -> limit.foundCold(OptionalInt.empty(), now);
             default -> limit.tick(now);
         }
-        release(flight, report.totalUnits(), now);
+        release(flight, Math.max(0, report.totalUnits() - flight.freeUnits), now);
     }
 
     /** Ends a flight, settles its service and frees its slot. */
     private void release(Flight flight, long totalUnits, long now) {
-        forget(flight);
-        charge(flight, Math.max(0, totalUnits) - flight.chargedUnits);
-        if (flight.stage != Flight.Stage.LAPSED) {
-            policy.corrected(flight.queue, flight.chargedUnits - flight.estimatedUnits);
+        flights.remove(flight);
+        settle(flight, totalUnits - flight.chargedUnits, now);
+        if (flight.holdsSlot()) {
             occupy(flight, -1);
         }
-        flight.stageNanos = now;
     }
 
-    private void charge(Flight flight, long units) {
+    private void settle(Flight flight, long units, long now) {
         if (units != 0) {
-            flight.chargedUnits += units;
-            flight.queue.undrainedUnits += units;
-            drained.add(flight.queue);
-            policy.charged(flight.queue, units);
+            policy.corrected(flight.queue, units, now);
+            addCharge(flight, units);
         }
     }
 
+    private void addCharge(Flight flight, long units) {
+        flight.chargedUnits += units;
+        flight.queue.undrainedUnits += units;
+        undrained.add(flight.queue);
+    }
+
     private void entryLost(RouterId entry, long now) {
-        for (WaitingRequest lost : List.copyOf(waitingByEntry.getOrDefault(entry, Set.of()))) {
-            dequeue(lost, now);
-        }
-        for (Flight flight : List.copyOf(flightsByEntry.getOrDefault(entry, Set.of()))) {
-            if (flight.stage != Flight.Stage.LAPSED) {
+        waiting.of(entry).forEach(lost -> dequeue(lost, now));
+        for (Flight flight : flights.of(entry)) {
+            if (flight.holdsSlot()) {
                 enterStage(flight, Flight.Stage.ORPHANED, now);
+                flight.server.orphans.add(flight);
             }
         }
     }
@@ -425,6 +469,7 @@
         for (ServerSlots slots : List.copyOf(pool.all())) {
             if (!owned.containsKey(slots.server.name())) {
                 pool.remove(slots);
+                handFlightsOver(slots, now);
             }
         }
         for (OwnedServer server : owned.values()) {
@@ -435,34 +480,56 @@
                 if (server.fresh() && server.fencingNumber() != slots.server.fencingNumber()) {
                     slots.limit.foundCold(OptionalInt.empty(), now);
                 }
+                if (server.admitting() && !slots.server.admitting()) {
+                    slots.limit.returned(now);
+                }
                 slots.server = server;
                 pool.update(slots);
             }
         }
-        refuseUnservable(now, actions);
-    }
-
-    private void refuseUnservable(long now, List<DispatchAction> actions) {
         if (pool.admitting() == 0) {
             emptyQueue(RefusalCode.NOT_OWNER, now, actions);
         }
     }
 
-    private void configurationChanged(FleetConfiguration changed, long now, List<DispatchAction> actions) {
+    private void handFlightsOver(ServerSlots slots, long now) {
+        for (Flight flight : flights.on(slots)) {
+            if (flight.holdsSlot()) {
+                occupy(flight, -1);
+                enterStage(flight, Flight.Stage.HANDED_OVER, now);
+            }
+        }
+    }
+
+    private void configurationChanged(FleetConfiguration changed, long now) {
         if (changed.version() < configuration.version()) {
             return;
         }
         configuration = changed;
-        queues.values().forEach(queue -> queue.reservedPerSecond = reserved(queue.workspace));
-        refuseUnservable(now, actions);
+        for (WorkspaceQueue queue : queues.values()) {
+            queue.reservedPerSecond = reserved(queue.workspace);
+            policy.queueChanged(queue, now);
+        }
+        for (ServerSlots slots : pool.all()) {
+            pool.update(slots);
+        }
     }
 
     private void loadReported(ServerName name, LoadReport report, long now) {
         ServerSlots slots = pool.get(name);
-        if (slots != null) {
-            slots.limit.loadReported(
-                    report.running(), report.waiting(), report.cold(), report.bearable(), report.uptimeMillis(), now);
-            pool.update(slots);
+        if (slots == null) {
+            return;
+        }
+        slots.limit.loadReported(
+                report.running(), report.waiting(), report.cold(), report.bearable(), report.uptimeMillis(), now);
+        pool.update(slots);
+        int notRunning = slots.inFlight - report.running() - report.waiting();
+        long measuredNanos = now - report.ageMillis() * NANOS_PER_MILLI;
+        for (Flight orphan : List.copyOf(slots.orphans)) {
+            if (notRunning > 0 && orphan.stageNanos < measuredNanos) {
+                release(orphan, orphan.producedUnits, now);
+                notRunning--;
+            }
         }
     }
 
@@ -472,26 +539,26 @@
             return;
         }
         for (InFlightEntry entry : requests) {
-            if (!flights.containsKey(entry.attempt())) {
-                Flight flight = new Flight(
-                        entry.attempt(),
-                        entry.entry(),
-                        entry.classOfWork(),
-                        queue(entry.workspace()),
-                        slots,
-                        entry.chargedUnits(),
-                        Flight.Stage.STARTED,
-                        now);
-                flight.chargedUnits = entry.chargedUnits();
-                addFlight(flight);
+            Flight known = flights.get(entry.attempt());
+            if (known == null || known.stage == Flight.Stage.HANDED_OVER) {
+                Flight flight = new Flight(entry, queue(entry.workspace()), slots, now);
+                flights.add(flight);
+                occupy(flight, 1);
             }
         }
     }
 
+    private void handedOver(HandoverState state, long now) {
+        ServerSlots slots = pool.get(state.server());
+        if (slots != null) {
+            slots.limit.restore(state.limit(), state.cold());
+            pool.update(slots);
+            inFlightReported(state.server(), state.requests(), now);
+        }
+    }
+
     private void totalsChanged(ServiceTotals totals, long now) {
-        otherOwners = totals.loads().getOrDefault(service, List.of()).stream()
-                .filter(load -> !load.router().equals(self))
-                .toList();
+        redirectTargets.replace(totals.loads().getOrDefault(service, List.of()), self);
         ServiceTotals.Totals own = totals.byService().get(service);
         if (own != null) {
             policy.totalsChanged(own, now);
@@ -499,32 +566,32 @@
     }
 
     private void redirect(RouterId owner, int freeSlots, long now, List<DispatchAction> actions) {
-        for (int i = 0; i < freeSlots; i++) {
+        for (int i = 0; i < freeSlots && pool.freeSlots() == 0; i++) {
             WorkspaceQueue queue = policy.next(now);
             if (queue == null) {
                 return;
             }
             WaitingRequest head = queue.head();
             dequeue(head, now);
+            policy.redirected(queue, head.request.estimatedUnits(), now);
             actions.add(new DispatchAction.Redirected(head.request.entry(), head.request.attempt(), owner));
         }
     }
 
     private void emptyQueue(RefusalCode code, long now, List<DispatchAction> actions) {
-        for (WaitingRequest entry : List.copyOf(byArrival)) {
+        for (WaitingRequest entry : waiting.all()) {
             dequeue(entry, now);
             refuseOrRedirect(entry.request, code, actions);
         }
     }
 
     private void refuseOrRedirect(QueuedRequest request, RefusalCode code, List<DispatchAction> actions) {
-        for (ServiceTotals.OwnerLoad load : otherOwners) {
-            if (load.freeSlots() > 0) {
-                actions.add(new DispatchAction.Redirected(request.entry(), request.attempt(), load.router()));
-                return;
-            }
+        Optional<RouterId> other = redirectTargets.take();
+        if (other.isPresent()) {
+            actions.add(new DispatchAction.Redirected(request.entry(), request.attempt(), other.get()));
+        } else {
+            refuse(request, code, Duration.ZERO, actions);
         }
-        refuse(request, code, Duration.ZERO, actions);
     }
 
     private void refuse(QueuedRequest request, RefusalCode code, Duration after, List<DispatchAction> actions) {
@@ -533,36 +600,31 @@
     }
 
     private void tick(long now, List<DispatchAction> actions) {
-        while (!byPatience.isEmpty() && byPatience.first().request.patienceEndNanos() <= now) {
-            WaitingRequest entry = byPatience.first();
+        for (WaitingRequest entry = waiting.expired(now); entry != null; entry = waiting.expired(now)) {
             dequeue(entry, now);
             refuse(entry.request, RefusalCode.PATIENCE_EXCEEDED, estimatedWait(entry.queue, now), actions);
         }
-        for (ServerSlots slots : pool.all()) {
-            slots.limit.tick(now);
-            pool.update(slots);
-        }
-        endStages(now);
-    }
-
-    private void endStages(long now) {
-        while (!stageEnds.isEmpty() && stageEnds.peek().dueNanos() <= now) {
-            StageEnd end = stageEnds.poll();
-            if (end.flight().stage == end.stage() && flights.containsKey(end.flight().attempt)) {
-                endStage(end.flight(), now);
+        if (now - limitTickNanos >= LIMIT_TICK_NANOS) {
+            limitTickNanos = now;
+            for (ServerSlots slots : pool.all()) {
+                slots.limit.tick(now);
+                pool.update(slots);
             }
         }
+        for (Flight ended = flights.ended(now); ended != null; ended = flights.ended(now)) {
+            endStage(ended, now);
+        }
     }
 
     private void endStage(Flight flight, long now) {
-        if (flight.stage == Flight.Stage.GRANTED) {
-            policy.corrected(flight.queue, flight.chargedUnits - flight.estimatedUnits);
-            occupy(flight, -1);
-            enterStage(flight, Flight.Stage.LAPSED, now);
-        } else if (flight.stage == Flight.Stage.LAPSED) {
-            forget(flight);
-        } else {
-            release(flight, flight.chargedUnits, now);
+        switch (flight.stage) {
+            case GRANTED -> {
+                settle(flight, -flight.chargedUnits, now);
+                occupy(flight, -1);
+                enterStage(flight, Flight.Stage.LAPSED, now);
+            }
+            case LAPSED, HANDED_OVER -> flights.remove(flight);
+            default -> release(flight, Math.max(0, flight.producedUnits - flight.freeUnits), now);
         }
     }
 
@@ -604,13 +666,7 @@
         return workspace == null ? 0 : workspace.reserved(service);
     }
 
-    private static <T> void removeFrom(Map<RouterId, Set<T>> index, RouterId entry, T value) {
-        Set<T> values = index.get(entry);
-        if (values != null) {
-            values.remove(value);
-            if (values.isEmpty()) {
-                index.remove(entry);
-            }
-        }
+    private static double mean(double former, double sample) {
+        return former == 0 ? sample : former + MEAN_WEIGHT * (sample - former);
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/WaitingRequest.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/WaitingRequest.java
@@ -17,7 +17,9 @@
     final WorkspaceQueue queue;
     final long sequence;
     final long arrivedNanos;
-    boolean preemptionRequested;
+
+    /** Stream that is being cancelled to make room for this request, or null. */
+    Flight preempted;
 
     WaitingRequest(QueuedRequest request, WorkspaceQueue queue, long sequence, long arrivedNanos) {
         this.request = request;
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/WorkspaceQueue.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/WorkspaceQueue.java
@@ -1,7 +1,8 @@
 package org.coltsfootquay.decision.dispatch;
 
 import java.util.Comparator;
-import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.TreeSet;
 import org.coltsfootquay.decision.common.WorkspaceId;
 
@@ -14,8 +15,11 @@
     /** Service charged since the last drain of the usage counters. */
     long undrainedUnits;
 
+    /** Whether a request had to wait since the last drain. */
+    boolean waitedSinceDrain;
+
     /** Requests in flight at this owner. */
-    int inFlight;
+    final Set<Flight> flights = new LinkedHashSet<>();
 
     /** Reserved rate from the configuration, in units a second. */
     long reservedPerSecond;
@@ -44,10 +48,6 @@
         return waiting.isEmpty() ? null : waiting.first();
     }
 
-    Iterator<WaitingRequest> inOrder() {
-        return waiting.iterator();
-    }
-
     int size() {
         return waiting.size();
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
@@ -35,6 +35,10 @@
     private int inFlight;
 
     private boolean fullyUsed;
+
+    /** Whether a window since the last growth had samples and was within the target; silence is no reason to grow. */
+    private boolean withinTarget;
+
     private long grownNanos;
     private long cutNanos;
     private boolean cutBefore;
@@ -175,6 +179,22 @@
         startWindow(nowNanos);
     }
 
+    /**
+     * Starts the ramp of a server that did not admit work for some time, for example because its zone had left.
+     *
+     * @param nowNanos current time
+     */
+    public void returned(long nowNanos) {
+        if (ramping) {
+            limit = Math.max(1, inFlight);
+        } else {
+            formerLimit = limit;
+            ramping = true;
+            limit = Math.max(1, inFlight);
+        }
+        startWindow(nowNanos);
+    }
+
     /**
      * Notes a load report of the server.
      *
@@ -214,18 +234,15 @@
         }
         if (nowNanos - grownNanos >= WINDOW_NANOS) {
             double seconds = Math.min(2, (nowNanos - grownNanos) / 1e9);
-            if (fullyUsed && !ramping && usualWithinTarget()) {
+            if (fullyUsed && !ramping && withinTarget) {
                 limit = Math.min(settings.largest(), limit + settings.growthPerSecond() * seconds);
             }
             fullyUsed = false;
+            withinTarget = false;
             grownNanos = nowNanos;
         }
     }
 
-    private boolean usualWithinTarget() {
-        return windowSamples == 0 || windowSum / windowSamples <= 1;
-    }
-
     private void sample(double ratio, long nowNanos) {
         tick(nowNanos);
         windowSum += ratio;
@@ -239,8 +256,10 @@
             if (usualKnown && !ramping && mean > 1 && mean > settings.coldRatio() * usualRatio) {
                 foundCold(OptionalInt.empty(), nowNanos);
             } else if (mean > 1) {
+                withinTarget = false;
                 cut(nowNanos);
             } else {
+                withinTarget = true;
                 usualRatio = usualWindows == 0 ? mean : usualRatio + USUAL_WEIGHT * (mean - usualRatio);
                 usualWindows++;
             }
--- a/decision/src/test/java/org/coltsfootquay/decision/dispatch/DispatchFixture.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/DispatchFixture.java
@@ -2,8 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Map;
 import java.util.Set;
 import org.coltsfootquay.decision.common.ClassName;
 import org.coltsfootquay.decision.common.RequestAttempt;
@@ -25,6 +26,7 @@
 
     final ServiceDispatcher dispatcher;
     final List<DispatchAction> log = new ArrayList<>();
+    final Map<String, Long> submittedUnits = new HashMap<>();
     long nowNanos = Duration.ofHours(1).toNanos();
 
     DispatchFixture(PolicyName policy) {
@@ -47,8 +49,7 @@
     }
 
     void warm(String name, int limit) {
-        handle(new DispatchEvent.LoadReported(
-                new ServerName(name), new LoadReport(limit, 0, false, OptionalInt.empty(), 3_600_000, 100)));
+        handle(new DispatchEvent.HandedOver(new HandoverState(new ServerName(name), limit, false, List.of())));
     }
 
     QueuedRequest request(String id, String workspace, long units, Duration deadline) {
@@ -73,6 +74,7 @@
     }
 
     List<DispatchAction> submit(String id, String workspace, long units) {
+        submittedUnits.put(id, units);
         return handle(new DispatchEvent.Submitted(request(id, workspace, units, Duration.ofSeconds(10))));
     }
 
--- a/decision/src/test/java/org/coltsfootquay/decision/dispatch/ServiceDispatcherTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/ServiceDispatcherTest.java
@@ -10,6 +10,8 @@
 import org.coltsfootquay.decision.common.RequestId;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.fairness.UsageIncrement;
 import org.junit.jupiter.api.Test;
 
 /** Guards against more grants than a server's limit, lost slots and answers to superseded attempts. */
@@ -200,14 +202,16 @@
                 List.of(new InFlightEntry(
                         DispatchFixture.attempt("old"),
                         DispatchFixture.ENTRY,
-                        new org.coltsfootquay.decision.common.WorkspaceId("w"),
+                        new WorkspaceId("former"),
                         DispatchFixture.CLASS,
                         40))));
         fixture.submit("a", "w", 100);
         fixture.submit("b", "w", 100);
         assertEquals(List.of("a"), fixture.granted());
         fixture.complete("old", 90, 1_000);
-        assertEquals(50, fixture.dispatcher.drainUsage().get(0).units());
+        assertTrue(fixture.dispatcher
+                .drainUsage()
+                .contains(new UsageIncrement(new WorkspaceId("former"), DispatchFixture.SERVICE, 50, false)));
         assertEquals(List.of("a", "b"), fixture.granted());
     }
 
