--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/AtMostOnceInvariant.java
@@ -0,0 +1,106 @@
+package org.coltsfootquay.decision.invariant;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RequestId;
+import org.coltsfootquay.decision.request.CallerRequest;
+import org.coltsfootquay.decision.request.RequestAction;
+import org.coltsfootquay.decision.request.RequestEvent;
+import org.coltsfootquay.decision.request.RequestObserver;
+import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.WriteOutcome;
+import org.coltsfootquay.decision.store.WriteResult;
+import org.coltsfootquay.decision.timeline.TimelineSink;
+
+/**
+ * Checks G7 for the requests of this router: a non-idempotent request is opened on a server only after its record was
+ * confirmed, and bytes are written at most once for each idempotency key, servers' own refusals aside.
+ *
+ * <p>Executions through other routers are covered by the record itself; the stand-ins count them.
+ */
+public final class AtMostOnceInvariant implements RequestObserver {
+
+    /** Keys remembered: 4 hours of 0.8 non-idempotent requests a second, the share of one of 390 routers. */
+    static final int CAPACITY = 12_000;
+
+    /** Time for which a key is remembered; shorter than the life of a record, after which a key may be used again. */
+    static final long REMEMBER_NANOS = Duration.ofHours(23).toNanos();
+
+    private static final String GUARANTEE = "G7";
+
+    private final TimelineSink sink;
+    private final Map<String, Sent> sent = bounded();
+    private final Map<RequestId, Boolean> confirmed = bounded();
+
+    /**
+     * Creates the check.
+     *
+     * @param sink receives one event for each violation
+     */
+    public AtMostOnceInvariant(TimelineSink sink) {
+        this.sink = sink;
+    }
+
+    @Override
+    public synchronized void handled(
+            CallerRequest request, RequestEvent event, List<RequestAction> actions, long nowNanos) {
+        if (!request.once()) {
+            return;
+        }
+        String key =
+                request.workspace() + "/" + request.idempotency().orElseThrow().key();
+        if (event instanceof RequestEvent.RecordWritten written && names(written.result(), request)) {
+            confirmed.put(request.id(), true);
+        } else if (event instanceof RequestEvent.RecordRead read
+                && read.result().isRight()) {
+            if (names(read.result().get(), request)) {
+                confirmed.put(request.id(), true);
+            }
+        } else if (event instanceof RequestEvent.ServerDeclined declined) {
+            Sent former = sent.get(key);
+            if (former != null && former.attempt().equals(declined.attempt())) {
+                sent.remove(key);
+            }
+        } else if (event instanceof RequestEvent.SendStarted started) {
+            Sent former = sent.put(key, new Sent(started.attempt(), nowNanos));
+            if (former != null && nowNanos - former.atNanos() < REMEMBER_NANOS) {
+                RequestInvariants.violated(
+                        sink, GUARANTEE, request.id(), "bytes were written before by attempt " + former.attempt());
+            }
+        }
+        boolean opens = actions.stream().anyMatch(RequestAction.OpenOnServer.class::isInstance);
+        if (opens && !confirmed.containsKey(request.id())) {
+            RequestInvariants.violated(sink, GUARANTEE, request.id(), "opened on a server before its record existed");
+        }
+        if (RequestInvariants.closed(actions)) {
+            confirmed.remove(request.id());
+        }
+    }
+
+    private static boolean names(WriteResult result, CallerRequest request) {
+        return result.outcome() == WriteOutcome.APPLIED || names(result.current(), request);
+    }
+
+    private static boolean names(Optional<Row> row, CallerRequest request) {
+        return row.flatMap(found -> found.value().optionalText("attempt"))
+                .filter(request.id().value()::equals)
+                .isPresent();
+    }
+
+    private static <K, V> Map<K, V> bounded() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > CAPACITY;
+            }
+        };
+    }
+
+    private record Sent(RequestAttempt attempt, long atNanos) {}
+}
--- a/decision/src/main/java/org/coltsfootquay/decision/request/FlowBounds.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/FlowBounds.java
@@ -28,6 +28,7 @@
     private long patienceEndNanos;
     private int placements;
     private int lapsedGrants;
+    private ErrorCode lastFailure;
     private int retries;
 
     FlowBounds(CallerRequest request, RequestEnvironment environment) {
@@ -62,6 +63,12 @@
         excludedServers.add(server);
     }
 
+    /** Keeps the failure of a send; it is the reason given if no other server is found. */
+    void failed(ErrorCode failure, ServerName server) {
+        lastFailure = failure;
+        excludedServers.add(server);
+    }
+
     boolean anotherGrantMayLapse() {
         return ++lapsedGrants <= MAX_LAPSED_GRANTS;
     }
@@ -71,16 +78,17 @@
         if (environment.cutOff()) {
             return Optional.of(ErrorCode.ROUTER_CUT_OFF);
         }
-        if (placements >= MAX_PLACEMENTS) {
-            return Optional.of(ErrorCode.NO_CAPACITY);
-        }
-        if (nowNanos >= patienceEndNanos) {
-            return Optional.of(placements == 0 ? ErrorCode.NO_CAPACITY : ErrorCode.PATIENCE_EXCEEDED);
-        }
-        return Optional.empty();
+        boolean mayPlace = placements < MAX_PLACEMENTS && nowNanos < patienceEndNanos;
+        return mayPlace ? Optional.empty() : Optional.of(lastFailure == null ? ErrorCode.NO_CAPACITY : lastFailure);
     }
 
-    /** Returns the preferred owner unless it is excluded, else the one that placement chooses. */
+    /**
+     * Returns the preferred owner unless it is excluded, else the one that placement chooses.
+     *
+     * @param preferred owner that knows the request, or that another owner named
+     * @param nowNanos current time
+     * @return owner, or empty when none is left; all are then allowed again
+     */
     Optional<RouterId> owner(Optional<RouterId> preferred, long nowNanos) {
         Optional<RouterId> chosen = preferred
                 .filter(router -> !excludedOwners.contains(router))
@@ -88,7 +96,9 @@
                         .owners()
                         .choose(request.service(), request.prefixHashes(), excludedOwners, nowNanos));
         if (chosen.isEmpty()) {
+            // Nothing else is left: what failed before may have recovered.
             excludedOwners.clear();
+            excludedServers.clear();
         }
         return chosen;
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
@@ -401,6 +401,7 @@
                 cancelOnServer();
                 reportFinished(Outcome.FAILED, nowNanos);
                 mayHaveRun = true;
+                bounds.failed(ErrorCode.SERVER_FAILED, grant.server());
                 waitAndPlace(delay, nowNanos);
                 return;
             }
@@ -477,7 +478,7 @@
     private void retry(Outcome outcome, ErrorCode failure, boolean attemptMayHaveRun, long nowNanos) {
         reportFinished(outcome, nowNanos);
         mayHaveRun |= attemptMayHaveRun;
-        bounds.exclude(grant.server());
+        bounds.failed(failure, grant.server());
         if (mayHaveRun && request.once()) {
             end(ErrorCode.OUTCOME_UNKNOWN, Duration.ZERO, nowNanos);
             return;
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/FlowPort.java
@@ -0,0 +1,36 @@
+package org.coltsfootquay.decision.request;
+
+import java.util.List;
+import org.coltsfootquay.decision.common.RequestAttempt;
+
+/** A request flow as the test world drives it; test copies of the mechanism with a deliberate fault implement it. */
+interface FlowPort {
+
+    List<RequestAction> handle(RequestEvent event, long nowNanos);
+
+    boolean maySend(RequestAttempt attempt, long nowNanos);
+
+    /** Creates flows. */
+    interface Factory {
+
+        FlowPort create(CallerRequest request, RequestEnvironment environment);
+
+        static Factory real() {
+            return (request, environment) -> of(new RequestFlow(request, environment));
+        }
+
+        static FlowPort of(RequestFlow flow) {
+            return new FlowPort() {
+                @Override
+                public List<RequestAction> handle(RequestEvent event, long nowNanos) {
+                    return flow.handle(event, nowNanos);
+                }
+
+                @Override
+                public boolean maySend(RequestAttempt attempt, long nowNanos) {
+                    return flow.maySend(attempt, nowNanos);
+                }
+            };
+        }
+    }
+}
