--- a/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
@@ -6,14 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
+import org.coltsfootquay.standin.http.StandInClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +18,7 @@
 
     private final AtomicLong nanos = new AtomicLong(1);
     private final PlatformStandIn platform = new PlatformStandIn(new PlatformSettings(2_000, 0, 0), nanos::get).start();
-    private final HttpClient client = HttpClient.newHttpClient();
+    private final StandInClient client = new StandInClient(platform.address());
 
     @AfterEach
     void close() {
@@ -97,9 +93,11 @@
     void outageDoesNothing() throws Exception {
         faults("{\"outage\": \"unavailable\"}");
 
-        HttpResponse<String> answer = send(request("/v1/table/batch")
-                .POST(HttpRequest.BodyPublishers.ofString("{\"mode\":\"atomic\",\"operations\":[{\"op\":\"put\","
-                        + "\"key\":\"a\",\"value\":{},\"condition\":{\"type\":\"always\"}}]}")));
+        HttpResponse<String> answer = client.send(
+                "POST",
+                "/v1/table/batch",
+                "{\"mode\":\"atomic\",\"operations\":[{\"op\":\"put\","
+                        + "\"key\":\"a\",\"value\":{},\"condition\":{\"type\":\"always\"}}]}");
 
         assertEquals(503, answer.statusCode());
         assertTrue(platform.row("a").isEmpty());
@@ -107,8 +105,7 @@
 
     @Test
     void unknownFaultIsRejectedWithItsPath() throws Exception {
-        HttpResponse<String> answer = send(
-                request("/v1/faults").POST(HttpRequest.BodyPublishers.ofString("{\"outge\": 1, \"slowMillis\": -1}")));
+        HttpResponse<String> answer = client.send("POST", "/v1/faults", "{\"outge\": 1, \"slowMillis\": -1}");
 
         assertEquals(400, answer.statusCode());
         assertTrue(answer.body().contains("$.outge"), answer.body());
@@ -120,7 +117,7 @@
         assertEquals(204, putObject("one").statusCode());
         assertEquals(204, putObject("one").statusCode());
         assertEquals(409, putObject("two").statusCode());
-        assertEquals("one", send(request("/v1/objects/config/x").GET()).body());
+        assertEquals("one", client.send("GET", "/v1/objects/config/x", "").body());
     }
 
     @Test
@@ -134,33 +131,21 @@
     }
 
     private HttpResponse<String> putObject(String content) throws Exception {
-        return send(request("/v1/objects/config/x").PUT(HttpRequest.BodyPublishers.ofString(content)));
+        return client.send("PUT", "/v1/objects/config/x", content);
     }
 
     private void faults(String json) throws Exception {
-        assertEquals(
-                200,
-                send(request("/v1/faults").POST(HttpRequest.BodyPublishers.ofString(json)))
-                        .statusCode());
+        assertEquals(200, client.send("POST", "/v1/faults", json).statusCode());
     }
 
     private JsonNode batch(String mode, String operations) throws Exception {
         String body = "{\"mode\":\"" + mode + "\",\"operations\":[" + operations + "]}";
-        HttpResponse<String> answer = send(request("/v1/table/batch").POST(HttpRequest.BodyPublishers.ofString(body)));
+        HttpResponse<String> answer = client.send("POST", "/v1/table/batch", body);
         assertEquals(200, answer.statusCode(), answer.body());
-        return new ObjectMapper().readTree(answer.body());
+        return StandInClient.parse(answer.body());
     }
 
     private JsonNode get(String path) throws Exception {
-        return new ObjectMapper().readTree(send(request(path).GET()).body());
-    }
-
-    private HttpRequest.Builder request(String path) {
-        return HttpRequest.newBuilder(URI.create("http://" + platform.address() + path))
-                .timeout(Duration.ofSeconds(10));
-    }
-
-    private HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
-        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        return client.get(path);
     }
 }
