--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -0,0 +1,449 @@
+package org.coltsfootquay.router.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.configuration.ConfigurationTopic;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.control.ControlPlane;
+import org.coltsfootquay.decision.control.ControlPorts;
+import org.coltsfootquay.decision.control.ControlSettings;
+import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.invariant.RequestInvariants;
+import org.coltsfootquay.decision.membership.Member;
+import org.coltsfootquay.decision.membership.MembershipSettings;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.membership.PeerContact;
+import org.coltsfootquay.decision.membership.WorkPermit;
+import org.coltsfootquay.decision.ownership.HandoverListener;
+import org.coltsfootquay.decision.ownership.OwnedServers;
+import org.coltsfootquay.decision.ownership.OwnerMap;
+import org.coltsfootquay.decision.placement.TwoChoiceSelector;
+import org.coltsfootquay.decision.retry.RetryBudget;
+import org.coltsfootquay.decision.timeline.EventKind;
+import org.coltsfootquay.decision.timeline.TimelineEvent;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.router.backend.BackendClient;
+import org.coltsfootquay.router.backend.ServerCalls;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.entry.EntryParts;
+import org.coltsfootquay.router.entry.EntryRouter;
+import org.coltsfootquay.router.http.ApiRoutes;
+import org.coltsfootquay.router.http.BearerKeys;
+import org.coltsfootquay.router.http.ErrorBody;
+import org.coltsfootquay.router.http.HttpExchange;
+import org.coltsfootquay.router.http.HttpFrontEnd;
+import org.coltsfootquay.router.http.HttpLimits;
+import org.coltsfootquay.router.http.HttpRequestHandler;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+import org.coltsfootquay.router.owner.OwnerRouter;
+import org.coltsfootquay.router.peer.PeerIdentity;
+import org.coltsfootquay.router.peer.PeerLimits;
+import org.coltsfootquay.router.peer.PeerNetwork;
+import org.coltsfootquay.router.settings.RouterSettings;
+import org.coltsfootquay.router.timeline.TimelineBuffer;
+import org.coltsfootquay.router.timeline.TimelineJsonUtils;
+
+/** One router: transports, controllers, dispatchers and flows. Several can run in one process. */
+public final class RouterDaemon {
+
+    private static final EventLog LOG = EventLog.of(RouterDaemon.class);
+    private static final Duration PROBE_PERIOD = Duration.ofMillis(250);
+    private static final Duration PROGRESS_PERIOD = Duration.ofSeconds(1);
+    private static final Duration READY_CHECK_PERIOD = Duration.ofMillis(20);
+
+    /** Precision of the time of the last contact with peers; keeps the blackboard quiet under load. */
+    private static final long CONTACT_PRECISION_NANOS = Duration.ofMillis(100).toNanos();
+
+    private final RouterSettings settings;
+    private final long startMillis = System.currentTimeMillis();
+    private final Blackboard blackboard = new Blackboard();
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final TimelineBuffer timeline;
+    private final RequestInvariants invariants;
+    private final EventLoopGroup eventLoops;
+    private final ControlThread control;
+    private final PlatformPorts platform;
+    private final BackendClient backend;
+    private final ServerCalls calls;
+    private final PeerNetwork network;
+    private final FrameRouter frames;
+    private final EntryRouter entry;
+    private final OwnerRouter owner;
+    private final RecordService records;
+    private final ConfigurationExchange configurations;
+    private final AtomicLong lastHeardNanos = new AtomicLong(Long.MIN_VALUE / 2);
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile HttpFrontEnd frontEnd;
+    private volatile HttpRequestHandler routes;
+    private ControlPlane plane;
+    private volatile String callerAddress = "";
+    private volatile String peerAddress = "";
+    private volatile boolean stopping;
+
+    /**
+     * Creates a router that does nothing until {@link #start()}.
+     *
+     * @param settings settings
+     * @param options choices of the embedding program
+     */
+    public RouterDaemon(RouterSettings settings, RouterOptions options) {
+        this.settings = settings;
+        String name = settings.id().value();
+        this.timeline = new TimelineBuffer(
+                name, options.timelineCapacity(), () -> System.currentTimeMillis() * 1_000, recorded -> {
+                    LOG.info(recorded.event().kind().label(), recorded.event().fields());
+                    if (recorded.event().kind() == EventKind.INVARIANT_VIOLATED) {
+                        metrics.count("invariant_violations_total");
+                    }
+                    options.observer().accept(recorded);
+                });
+        this.invariants = new RequestInvariants(timeline);
+        this.eventLoops = ChannelUtils.eventLoops(name, options.eventLoopThreads());
+        this.control = new ControlThread(name + "-control");
+        this.platform = options.platform().create(settings.platformAddress(), eventLoops, control);
+        this.backend = new BackendClient(eventLoops);
+        this.calls = new ServerCalls(backend);
+        PeerUse use = new PeerUse();
+        this.frames = new FrameRouter(settings.id(), use, this::heardFromPeer);
+        this.network = new PeerNetwork(
+                new PeerIdentity(settings.id(), startMillis, settings.zone()),
+                settings.fleetKey().getBytes(StandardCharsets.UTF_8),
+                eventLoops,
+                PeerLimits.standard(),
+                router -> Optional.ofNullable(
+                                blackboard.read(MembershipView.TOPIC).members().get(router))
+                        .map(Member::peerAddress),
+                use::inUse,
+                frames);
+        this.configurations = new ConfigurationExchange(network);
+        this.records = new RecordService(control, platform.table(), settings.id());
+        this.owner = new OwnerRouter(
+                name,
+                service -> new ServiceDispatcher(service, settings.id(), options.policy()),
+                frames::send,
+                System::nanoTime);
+        this.entry = entryRouter();
+        frames.connect(network, entry, owner, this::controlFrame);
+        registerGauges();
+    }
+
+    /**
+     * Starts the router.
+     *
+     * @return completed when it listens; fails when an address is in use
+     */
+    public CompletableFuture<Void> start() {
+        control.start();
+        owner.start();
+        frontEnd = new HttpFrontEnd(eventLoops, httpLimits(), this::handle);
+        return network.listen(settings.peerAddress())
+                .thenCompose(peer -> {
+                    peerAddress = peer;
+                    return frontEnd.listen(settings.callerAddress());
+                })
+                .thenAccept(caller -> {
+                    callerAddress = caller;
+                    control.execute(this::startControl);
+                });
+    }
+
+    /**
+     * Returns when the router is ready: a configuration is in force and new work is permitted.
+     *
+     * @return completed once
+     */
+    public CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    /**
+     * Begins the planned stop, which interrupts no request; a second call has no further effect.
+     *
+     * @return completed when the stop has ended
+     */
+    public CompletableFuture<Void> stop() {
+        control.execute(() -> {
+            if (!stopping) {
+                stopping = true;
+                timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPING, "router", settings.id()));
+                new PlannedStop(
+                                control.timer(),
+                                plane,
+                                entry,
+                                owner,
+                                settings.timing()
+                                        .addressKeepTime()
+                                        .plus(settings.timing().pollPeriod()))
+                        .begin(this::stopEnded);
+            }
+        });
+        return stopped;
+    }
+
+    /** Ends everything at once, as a crash does; the rows in the store stay until they expire. */
+    public void kill() {
+        stopping = true;
+        control.stop();
+        owner.close();
+        network.close();
+        backend.close();
+        if (frontEnd != null) {
+            frontEnd.close();
+        }
+        platform.close().run();
+        var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
+    }
+
+    /**
+     * Returns the identifier.
+     *
+     * @return identifier of this router
+     */
+    public RouterId id() {
+        return settings.id();
+    }
+
+    /**
+     * Returns the address for callers and operators.
+     *
+     * @return {@code host:port}; empty before the start
+     */
+    public String callerAddress() {
+        return callerAddress;
+    }
+
+    /**
+     * Returns the address for other routers.
+     *
+     * @return {@code host:port}; empty before the start
+     */
+    public String peerAddress() {
+        return peerAddress;
+    }
+
+    /**
+     * Returns the metrics.
+     *
+     * @return metrics of this router
+     */
+    public RouterMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Returns the time line.
+     *
+     * @return time line of this router
+     */
+    public TimelineBuffer timeline() {
+        return timeline;
+    }
+
+    /**
+     * Returns the blackboard, for programs that watch a router they embed.
+     *
+     * @return blackboard of this router
+     */
+    public Blackboard blackboard() {
+        return blackboard;
+    }
+
+    /**
+     * Returns the transport between routers, for its counters.
+     *
+     * @return transport of this router
+     */
+    public PeerNetwork network() {
+        return network;
+    }
+
+    /**
+     * Fault switch: drops all frames to and from some routers, as a partition does.
+     *
+     * @param routers routers to cut off
+     */
+    public void cutOff(Predicate<RouterId> routers) {
+        network.cutOff(routers);
+    }
+
+    private void handle(HttpExchange exchange) {
+        HttpRequestHandler handler = routes;
+        if (handler != null) {
+            handler.handle(exchange);
+        } else {
+            ErrorBody.of(503, "router_stopping", "the router is starting", "retry at once at the next address")
+                    .send(exchange);
+        }
+    }
+
+    private EntryRouter entryRouter() {
+        long seed = startMillis ^ settings.id().hashCode();
+        RouterEnvironment environment = new RouterEnvironment(
+                settings.id(),
+                blackboard,
+                new TwoChoiceSelector(
+                        settings.zone(),
+                        () -> blackboard.read(OwnerMap.TOPIC),
+                        () -> blackboard.read(MembershipView.TOPIC),
+                        seed),
+                new RetryBudget(seed),
+                timeline,
+                invariants,
+                System::nanoTime);
+        EntryParts parts = new EntryParts(environment, backend, calls, frames, records, metrics, System::nanoTime);
+        return new EntryRouter(
+                parts,
+                startMillis,
+                settings.limits().maxRequests(),
+                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0
+                        ? Optional.of("no configuration is known yet")
+                        : Optional.empty());
+    }
+
+    private ControlPlane controlPlane() {
+        ControlPorts ports = new ControlPorts(
+                platform.table(),
+                platform.objects(),
+                new JsonConfigurationCodec(),
+                configurations,
+                HandoverListener.NONE,
+                timeline);
+        return new ControlPlane(
+                ports,
+                control.timer(),
+                blackboard,
+                new SplittableRandom(startMillis ^ settings.id().hashCode()),
+                ControlSettings.standard(MembershipSettings.standard(
+                        settings.id(), settings.zone(), settings.region(), callerAddress, peerAddress, startMillis)));
+    }
+
+    private ApiRoutes apiRoutes() {
+        return new ApiRoutes(
+                new BearerKeys<>(Map.of("operator", settings.operatorKeyDigests())),
+                new OperatorCommands(control, plane, blackboard),
+                new ApiRoutes.Sources(
+                        this::notReadyReason,
+                        new AddressList(
+                                blackboard, settings.zone(), settings.timing().addressKeepTime()),
+                        metrics::prometheusText,
+                        metrics::json,
+                        (from, limit) -> timeline.read(from, limit).stream()
+                                .map(line -> TimelineJsonUtils.write(line) + "\n")
+                                .collect(Collectors.joining())),
+                entry);
+    }
+
+    private HttpLimits httpLimits() {
+        HttpLimits standard = HttpLimits.standard();
+        return new HttpLimits(
+                standard.maxLineBytes(),
+                settings.limits().maxHeaderBytes(),
+                settings.limits().maxBodyBytes(),
+                settings.limits().maxConnections(),
+                standard.maxPipelined(),
+                standard.requestTimeout(),
+                standard.idleTimeout());
+    }
+
+    private void startControl() {
+        TimerService timer = control.timer();
+        plane = controlPlane();
+        routes = apiRoutes();
+        configurations.connect(plane.configuration());
+        blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationInForce);
+        blackboard.cell(OwnedServers.TOPIC).subscribe(owner::ownedServers);
+        blackboard.cell(ServiceTotals.TOPIC).subscribe(owner::totals);
+        records.start();
+        plane.start();
+        ServerWatch watch =
+                new ServerWatch(settings.id(), blackboard, calls, owner, frames, new SplittableRandom(startMillis));
+        timer.every("load", settings.timing().loadPollPeriod(), watch::pollLoads);
+        timer.every("probe", PROBE_PERIOD, watch::probe);
+        timer.every("progress", PROGRESS_PERIOD, entry::flushProgress);
+        timer.every("ready", READY_CHECK_PERIOD, this::checkReady);
+    }
+
+    private void configurationInForce(FleetConfiguration configuration) {
+        owner.configuration(configuration);
+        configurations.inForce(configuration);
+    }
+
+    private void controlFrame(RouterId from, Frame frame) {
+        if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
+            control.execute(() -> configurations.received(from, frame.getConfigurationNotice()));
+        }
+    }
+
+    private void checkReady() {
+        if (!ready.isDone() && notReadyReason().isEmpty()) {
+            timeline.record(TimelineEvent.of(EventKind.ROUTER_READY, "router", settings.id()));
+            ready.complete(null);
+        }
+    }
+
+    private Optional<String> notReadyReason() {
+        if (stopping) {
+            return Optional.of("stopping");
+        }
+        if (blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0) {
+            return Optional.of("starting");
+        }
+        return blackboard.read(WorkPermit.TOPIC).allows(System.nanoTime()) ? Optional.empty() : Optional.of("cut_off");
+    }
+
+    private void heardFromPeer() {
+        long now = System.nanoTime();
+        long last = lastHeardNanos.get();
+        if (now - last > CONTACT_PRECISION_NANOS && lastHeardNanos.compareAndSet(last, now)) {
+            blackboard.write(PeerContact.TOPIC, new PeerContact(now));
+        }
+    }
+
+    private void stopEnded() {
+        invariants.stops().exiting();
+        timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPED, "router", settings.id()));
+        var unused = frontEnd.drain().thenRun(() -> {
+            control.stop();
+            owner.close();
+            network.close();
+            backend.close();
+            platform.close().run();
+            var ended = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
+        });
+    }
+
+    private void registerGauges() {
+        metrics.gauge("requests_in_progress", entry::requests);
+        metrics.gauge("peer_connections", network::connections);
+        metrics.gauge("backend_connections", backend::connections);
+        metrics.gauge(
+                "configuration_version",
+                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version());
+        metrics.gauge(
+                "owned_servers",
+                () -> blackboard.read(OwnedServers.TOPIC).servers().size());
+        for (Frame.BodyCase kind : Frame.BodyCase.values()) {
+            String label = "{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
+            var traffic = network.counters().byKind().get(kind);
+            metrics.gauge("peer_sent_bytes" + label, () -> traffic.sentBytes().sum());
+            metrics.gauge(
+                    "peer_received_bytes" + label, () -> traffic.receivedBytes().sum());
+            metrics.gauge("peer_sent_frames" + label, () -> traffic.sentFrames().sum());
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Wiring of a router process: threads, transports, controllers, dispatchers and flows. */
+package org.coltsfootquay.router.daemon;
