Add platform client

Cause: the control part of the decision library needs its ports to the table service, object store and VM list over the documented protocol. Change: PlatformClient on BackendClient with a timeout for each call, a bound on calls in flight, reads repeated with full jitter and writes sent at most once. BackendClient can count its traffic.

--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.router.backend.BackendFailure.Kind;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.channel.TrafficCounter;
 
 /**
  * HTTP client with a pool of connections for each server; thread-safe.
@@ -38,6 +39,7 @@
     private static final Duration IDLE_TIME = Duration.ofSeconds(15);
 
     private final EventLoopGroup eventLoops;
+    private final TrafficCounter traffic;
     private final ConcurrentHashMap<String, Pool> pools = new ConcurrentHashMap<>();
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
@@ -48,7 +50,18 @@
      * @param eventLoops event loops, owned by the caller
      */
     public BackendClient(EventLoopGroup eventLoops) {
+        this(eventLoops, new TrafficCounter());
+    }
+
+    /**
+     * Creates a client that counts its traffic.
+     *
+     * @param eventLoops event loops, owned by the caller
+     * @param traffic counter of the bytes of all connections
+     */
+    public BackendClient(EventLoopGroup eventLoops, TrafficCounter traffic) {
         this.eventLoops = eventLoops;
+        this.traffic = traffic;
     }
 
     /**
@@ -107,6 +120,7 @@
                         @Override
                         protected void initChannel(Channel channel) {
                             channel.pipeline()
+                                    .addLast(traffic)
                                     .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                     .addLast(new PooledConnection(pool, channel));
                         }
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/channel/TrafficCounter.java
@@ -0,0 +1,54 @@
+package org.coltsfootquay.router.channel;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts the bytes that pass through channels, without the headers of TCP and IP; thread-safe.
+ *
+ * <p>It stands first in the pipeline of each channel that it counts.
+ */
+@Sharable
+public final class TrafficCounter extends ChannelDuplexHandler {
+
+    private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
+
+    /**
+     * Returns the bytes sent.
+     *
+     * @return bytes since the start
+     */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    /**
+     * Returns the bytes received.
+     *
+     * @return bytes since the start
+     */
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            receivedBytes.add(bytes.readableBytes());
+        }
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (message instanceof ByteBuf bytes) {
+            sentBytes.add(bytes.readableBytes());
+        }
+        var unused = context.write(message, promise);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/platform/ObjectStoreClient.java
@@ -0,0 +1,53 @@
+package org.coltsfootquay.router.platform;
+
+import io.vavr.control.Either;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.coltsfootquay.decision.store.ObjectStore;
+import org.coltsfootquay.decision.store.StoreException;
+import org.coltsfootquay.decision.store.StoreException.Kind;
+import org.coltsfootquay.decision.store.WriteOutcome;
+
+/** Object store over HTTP. */
+final class ObjectStoreClient implements ObjectStore {
+
+    private final PlatformCalls calls;
+
+    ObjectStoreClient(PlatformCalls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public void put(String name, byte[] content, Consumer<WriteOutcome> callback) {
+        calls.write("PUT", path(name), content, reply -> callback.accept(outcome(reply)));
+    }
+
+    @Override
+    public void get(String name, Consumer<Either<StoreException, byte[]>> callback) {
+        calls.read(
+                path(name),
+                reply -> {
+                    if (reply.answeredWith(404)) {
+                        throw new StoreException(
+                                Kind.NOT_FOUND, "object " + name + " does not exist; read its name again");
+                    }
+                    return reply.requireStatus(200).body();
+                },
+                callback);
+    }
+
+    private static WriteOutcome outcome(PlatformReply reply) {
+        if (reply.answeredWith(204) || reply.answeredWith(200)) {
+            return WriteOutcome.APPLIED;
+        }
+        return reply.nothingDone() || reply.answeredWith(409) || reply.answeredWith(400)
+                ? WriteOutcome.NOT_APPLIED
+                : WriteOutcome.UNKNOWN;
+    }
+
+    private static String path(String name) {
+        String encoded = URLEncoder.encode(name, StandardCharsets.UTF_8);
+        return "/v1/objects/" + encoded.replace("+", "%20").replace("%2F", "/");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformAttempt.java
@@ -0,0 +1,129 @@
+package org.coltsfootquay.router.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+import org.coltsfootquay.router.backend.BackendCall;
+import org.coltsfootquay.router.backend.BackendFailure;
+import org.coltsfootquay.router.backend.BackendFailure.Execution;
+import org.coltsfootquay.router.backend.BackendHandler;
+
+/**
+ * One attempt of a call; reports its outcome exactly once, whether the answer, a failure or the timeout comes first.
+ *
+ * <p>The state decides a race between the timeout and the first byte: a request whose timeout came first is never sent.
+ */
+final class PlatformAttempt implements BackendHandler {
+
+    /** A full list of 290 workspaces and 1,600 servers has less than 1 MiB. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    private enum State {
+        WAITING,
+        SENDING,
+        ENDED
+    }
+
+    private final String method;
+    private final String path;
+    private final byte[] requestBody;
+    private final long deadlineNanos;
+    private final BiConsumer<PlatformAttempt, PlatformReply> outcome;
+    private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private volatile BackendCall call;
+
+    PlatformAttempt(
+            String method,
+            String path,
+            byte[] requestBody,
+            long deadlineNanos,
+            BiConsumer<PlatformAttempt, PlatformReply> outcome) {
+        this.method = method;
+        this.path = path;
+        this.requestBody = requestBody;
+        this.deadlineNanos = deadlineNanos;
+        this.outcome = outcome;
+    }
+
+    String method() {
+        return method;
+    }
+
+    String path() {
+        return path;
+    }
+
+    byte[] requestBody() {
+        return requestBody;
+    }
+
+    long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    boolean ended() {
+        return state.get() == State.ENDED;
+    }
+
+    /** Remembers the call, so that the timeout can close its connection. */
+    void sentBy(BackendCall sent) {
+        call = sent;
+        if (ended()) {
+            sent.cancel();
+        }
+    }
+
+    /** Ends the attempt without an answer. */
+    void giveUp(String reason) {
+        State before = state.getAndSet(State.ENDED);
+        if (before == State.ENDED) {
+            return;
+        }
+        outcome.accept(this, before == State.WAITING ? PlatformReply.notSent(reason) : PlatformReply.lost(reason));
+        BackendCall sent = call;
+        if (sent != null) {
+            sent.cancel();
+        }
+    }
+
+    @Override
+    public boolean mayStart() {
+        return state.compareAndSet(State.WAITING, State.SENDING);
+    }
+
+    @Override
+    public void head(int newStatus, Map<String, String> headers) {
+        status = newStatus;
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+        if (body.size() + bytes.length > MAX_BODY_BYTES) {
+            giveUp("the answer has more than " + MAX_BODY_BYTES + " bytes");
+        } else {
+            body.write(bytes, 0, bytes.length);
+        }
+    }
+
+    @Override
+    public void finished() {
+        end(PlatformReply.answered(status, body.toByteArray()));
+    }
+
+    @Override
+    public void failed(BackendFailure failure) {
+        end(
+                failure.execution() == Execution.NOT_SENT
+                        ? PlatformReply.notSent(failure.message())
+                        : PlatformReply.lost(failure.message()));
+    }
+
+    private void end(PlatformReply reply) {
+        if (state.getAndSet(State.ENDED) != State.ENDED) {
+            outcome.accept(this, reply);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformCalls.java
@@ -0,0 +1,204 @@
+package org.coltsfootquay.router.platform;
+
+import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.coltsfootquay.decision.store.StoreException;
+import org.coltsfootquay.decision.store.StoreException.Kind;
+import org.coltsfootquay.router.backend.BackendClient;
+import org.coltsfootquay.router.backend.BackendRequest;
+import org.coltsfootquay.router.log.EventLog;
+
+/**
+ * Calls to the platform with a bound on the calls in flight, a timeout for each call, and retries of reads.
+ *
+ * <p>Thread-safe. Outcomes are delivered on the executor of the control thread.
+ */
+final class PlatformCalls {
+
+    private static final EventLog LOG = EventLog.of(PlatformCalls.class);
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final PlatformClientSettings settings;
+    private final EventLoopGroup eventLoops;
+    private final BackendClient http;
+    private final Executor callbacks;
+    private final RandomGenerator random;
+    private final CallSlots slots;
+    private final LongAdder readRetries = new LongAdder();
+    private final LongAdder unknownWrites = new LongAdder();
+
+    PlatformCalls(
+            PlatformClientSettings settings,
+            EventLoopGroup eventLoops,
+            BackendClient http,
+            Executor callbacks,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.eventLoops = eventLoops;
+        this.http = http;
+        this.callbacks = callbacks;
+        this.random = random;
+        this.slots = new CallSlots(settings.maxInFlight(), settings.maxWaiting());
+    }
+
+    /** Turns an answer into a value. */
+    @FunctionalInterface
+    interface Decoder<T> {
+
+        /**
+         * Decodes an answer with status 200, 204, 404 or 409.
+         *
+         * @throws StoreException if the row or object does not exist or the answer is malformed
+         */
+        T decode(PlatformReply reply) throws StoreException;
+    }
+
+    long readRetries() {
+        return readRetries.sum();
+    }
+
+    long unknownWrites() {
+        return unknownWrites.sum();
+    }
+
+    /** Writes once; an unknown outcome is reported and never repeated. */
+    void write(String method, String path, byte[] body, Consumer<PlatformReply> callback) {
+        attempt(method, path, body, deadlineNanos(), reply -> {
+            if (reply.kind() == PlatformReply.Kind.LOST) {
+                unknownWrites.increment();
+            }
+            if (reply.kind() != PlatformReply.Kind.ANSWERED) {
+                LOG.warn("platform_write_failed", "path", path, "outcome", reply.kind(), "cause", reply.message());
+            }
+            deliver(() -> callback.accept(reply));
+        });
+    }
+
+    /** Reads, with retries within the timeout of the call. */
+    <T> void read(String path, Decoder<T> decoder, Consumer<Either<StoreException, T>> callback) {
+        new Read<>(path, decoder, callback).start();
+    }
+
+    void close() {
+        slots.close().forEach(attempt -> attempt.giveUp("the client is closed"));
+        http.close();
+    }
+
+    private long deadlineNanos() {
+        return System.nanoTime() + settings.callTimeout().toNanos();
+    }
+
+    private void deliver(Runnable callback) {
+        try {
+            callbacks.execute(callback);
+        } catch (RejectedExecutionException e) {
+            LOG.warn("platform_callback_dropped", "cause", "the executor of callbacks has ended");
+        }
+    }
+
+    private void attempt(
+            String method, String path, byte[] body, long deadlineNanos, Consumer<PlatformReply> callback) {
+        PlatformAttempt attempt = new PlatformAttempt(method, path, body, deadlineNanos, (ended, reply) -> {
+            slots.leave(ended).ifPresent(this::send);
+            callback.accept(reply);
+        });
+        CallSlots.Entry entry = slots.enter(attempt);
+        if (entry == CallSlots.Entry.CLOSED || entry == CallSlots.Entry.FULL) {
+            attempt.giveUp(
+                    entry == CallSlots.Entry.FULL
+                            ? "too many calls wait for the platform; call less often"
+                            : "the client is closed");
+            return;
+        }
+        var unused = eventLoops.schedule(
+                () -> attempt.giveUp(
+                        "no answer within " + settings.callTimeout().toMillis() + " ms"),
+                deadlineNanos - System.nanoTime(),
+                TimeUnit.NANOSECONDS);
+        if (entry == CallSlots.Entry.SEND) {
+            send(attempt);
+        }
+    }
+
+    private void send(PlatformAttempt attempt) {
+        Duration remaining = Duration.ofNanos(Math.max(1_000_000, attempt.deadlineNanos() - System.nanoTime()));
+        Map<String, String> headers =
+                attempt.method().equals("POST") ? Map.of("content-type", "application/json") : Map.of();
+        attempt.sentBy(http.send(
+                new BackendRequest(
+                        settings.address(),
+                        attempt.method(),
+                        attempt.path(),
+                        headers,
+                        attempt.requestBody(),
+                        remaining,
+                        remaining),
+                attempt));
+    }
+
+    /** A read with its retries. */
+    private final class Read<T> {
+
+        private final String path;
+        private final Decoder<T> decoder;
+        private final Consumer<Either<StoreException, T>> callback;
+        private final long deadlineNanos = deadlineNanos();
+        private int attempts;
+
+        private Read(String path, Decoder<T> decoder, Consumer<Either<StoreException, T>> callback) {
+            this.path = path;
+            this.decoder = decoder;
+            this.callback = callback;
+        }
+
+        private void start() {
+            attempts++;
+            attempt("GET", path, NO_BODY, deadlineNanos, this::ended);
+        }
+
+        private void ended(PlatformReply reply) {
+            boolean temporary =
+                    reply.kind() != PlatformReply.Kind.ANSWERED || reply.status() >= 500 || reply.throttled();
+            if (temporary && attempts < settings.readAttempts()) {
+                long pauseNanos = pauseNanos();
+                if (System.nanoTime() + pauseNanos - deadlineNanos < 0) {
+                    readRetries.increment();
+                    var unused = eventLoops.schedule(this::start, pauseNanos, TimeUnit.NANOSECONDS);
+                    return;
+                }
+            }
+            Either<StoreException, T> result = temporary ? Either.left(failure(reply)) : decode(reply);
+            deliver(() -> callback.accept(result));
+        }
+
+        /** Returns a pause with full jitter, so that routers that failed together do not return together. */
+        private long pauseNanos() {
+            long bound = settings.firstBackoff().toNanos() << Math.min(attempts - 1, 20);
+            return random.nextLong(Math.min(bound, settings.maxBackoff().toNanos()) + 1);
+        }
+
+        private Either<StoreException, T> decode(PlatformReply reply) {
+            try {
+                return Either.right(decoder.decode(reply));
+            } catch (StoreException e) {
+                return Either.left(e);
+            }
+        }
+
+        private StoreException failure(PlatformReply reply) {
+            Kind kind = reply.throttled() ? Kind.THROTTLED : Kind.UNREACHABLE;
+            return new StoreException(
+                    kind,
+                    "cannot read " + path + " from the platform at " + settings.address() + " (" + reply.describe()
+                            + " after " + attempts + " attempts); the next poll reads again");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/platform/TableStoreClient.java
@@ -0,0 +1,97 @@
+package org.coltsfootquay.router.platform;
+
+import io.vavr.control.Either;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.RowChanges;
+import org.coltsfootquay.decision.store.RowWrite;
+import org.coltsfootquay.decision.store.StoreException;
+import org.coltsfootquay.decision.store.TableStore;
+import org.coltsfootquay.decision.store.WriteOutcome;
+import org.coltsfootquay.decision.store.WriteResult;
+
+/** Table service over HTTP. */
+final class TableStoreClient implements TableStore {
+
+    private static final int MAX_OPERATIONS = 100;
+
+    private final PlatformCalls calls;
+
+    TableStoreClient(PlatformCalls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public void writeAtomically(List<RowWrite> writes, Consumer<List<WriteResult>> callback) {
+        write(true, writes, callback);
+    }
+
+    @Override
+    public void writeIndependently(List<RowWrite> writes, Consumer<List<WriteResult>> callback) {
+        write(false, writes, callback);
+    }
+
+    @Override
+    public void read(String key, Consumer<Either<StoreException, Optional<Row>>> callback) {
+        calls.read(
+                "/v1/table/row?key=" + encode(key),
+                reply -> {
+                    if (reply.answeredWith(404)) {
+                        return Optional.empty();
+                    }
+                    return Optional.of(TableJson.row(reply.requireStatus(200).body()));
+                },
+                callback);
+    }
+
+    @Override
+    public void changes(
+            List<String> prefixes, long sinceRevision, Consumer<Either<StoreException, RowChanges>> callback) {
+        StringBuilder path = new StringBuilder("/v1/table/changes?");
+        for (String prefix : prefixes) {
+            path.append("prefix=").append(encode(prefix)).append('&');
+        }
+        path.append("since=").append(sinceRevision);
+        calls.read(
+                path.toString(),
+                reply -> TableJson.changes(reply.requireStatus(200).body()),
+                callback);
+    }
+
+    private void write(boolean atomic, List<RowWrite> writes, Consumer<List<WriteResult>> callback) {
+        int size = writes.size();
+        if (size == 0 || size > MAX_OPERATIONS) {
+            throw new IllegalArgumentException(
+                    "a batch has 1 to " + MAX_OPERATIONS + " writes but this one has " + size + "; split it");
+        }
+        calls.write(
+                "POST",
+                "/v1/table/batch",
+                TableJson.batch(atomic, writes),
+                reply -> callback.accept(results(reply, size)));
+    }
+
+    private static List<WriteResult> results(PlatformReply reply, int size) {
+        if (reply.answeredWith(200)) {
+            return TableJson.results(reply.body(), size).orElseGet(() -> same(size, WriteResult.unknown()));
+        }
+        // The platform answers 400 before it applies anything.
+        if (reply.nothingDone() || reply.answeredWith(400)) {
+            return same(size, new WriteResult(WriteOutcome.NOT_APPLIED, 0, Optional.empty()));
+        }
+        return same(size, WriteResult.unknown());
+    }
+
+    private static List<WriteResult> same(int size, WriteResult result) {
+        return Collections.nCopies(size, result);
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/platform/VmListClient.java
@@ -0,0 +1,57 @@
+package org.coltsfootquay.router.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.store.StoreException;
+import org.coltsfootquay.decision.store.VmEntry;
+import org.coltsfootquay.decision.store.VmList;
+
+/** VM list over HTTP. */
+final class VmListClient implements VmList {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final PlatformCalls calls;
+
+    VmListClient(PlatformCalls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public void read(Consumer<Either<StoreException, List<VmEntry>>> callback) {
+        calls.read("/v1/vms", reply -> entries(reply.requireStatus(200).body()), callback);
+    }
+
+    private static List<VmEntry> entries(byte[] body) throws StoreException {
+        try {
+            List<VmEntry> entries = new ArrayList<>();
+            for (JsonNode each : TableJson.requireField(MAPPER.readTree(body), "vms")) {
+                entries.add(entry(each));
+            }
+            return entries;
+        } catch (IOException e) {
+            throw TableJson.malformed("list of VMs", e);
+        }
+    }
+
+    private static VmEntry entry(JsonNode node) throws IOException {
+        String state = TableJson.requireField(node, "state").asText();
+        try {
+            return new VmEntry(
+                    TableJson.requireField(node, "name").asText(),
+                    new ZoneName(TableJson.requireField(node, "zone").asText()),
+                    TableJson.requireField(node, "address").asText(),
+                    VmEntry.State.valueOf(state.toUpperCase(Locale.ROOT)),
+                    node.path("startedAtEpochMillis").asLong());
+        } catch (IllegalArgumentException e) {
+            throw new IOException("entry of the VM list is invalid: " + e.getMessage(), e);
+        }
+    }
+}
--- a/standin/src/main/java/org/coltsfootquay/standin/http/StandInServer.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/http/StandInServer.java
@@ -138,7 +138,7 @@
             try {
                 handler.handle(exchange);
             } catch (RuntimeException e) {
-                LOG.errorf(e, "event=standin-failed method=%s path=%s", exchange.method(), exchange.path());
+                LOG.errorf(e, "event=standin_failed method=%s path=%s", exchange.method(), exchange.path());
                 exchange.answerError(500, "internal", "the stand-in failed; see its log");
             }
         }
@@ -152,7 +152,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            LOG.debugf("event=standin-connection-broken cause=%s", cause);
+            LOG.debugf("event=standin_connection_broken cause=%s", cause);
             context.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
     }
