--- a/router/src/main/java/org/coltsfootquay/router/platform/PlatformCalls.java
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformCalls.java
@@ -1,6 +1,6 @@
 package org.coltsfootquay.router.platform;
 
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Map;
@@ -27,7 +27,7 @@
     private static final byte[] NO_BODY = new byte[0];
 
     private final PlatformClientSettings settings;
-    private final EventLoopGroup eventLoops;
+    private final EventLoop eventLoop;
     private final BackendClient http;
     private final Executor callbacks;
     private final RandomGenerator random;
@@ -37,12 +37,12 @@
 
     PlatformCalls(
             PlatformClientSettings settings,
-            EventLoopGroup eventLoops,
+            EventLoop eventLoop,
             BackendClient http,
             Executor callbacks,
             RandomGenerator random) {
         this.settings = settings;
-        this.eventLoops = eventLoops;
+        this.eventLoop = eventLoop;
         this.http = http;
         this.callbacks = callbacks;
         this.random = random;
@@ -118,7 +118,7 @@
                             : "the client is closed");
             return;
         }
-        var unused = eventLoops.schedule(
+        var unused = eventLoop.schedule(
                 () -> attempt.giveUp(
                         "no answer within " + settings.callTimeout().toMillis() + " ms"),
                 deadlineNanos - System.nanoTime(),
@@ -133,6 +133,7 @@
         Map<String, String> headers =
                 attempt.method().equals("POST") ? Map.of("content-type", "application/json") : Map.of();
         attempt.sentBy(http.send(
+                eventLoop,
                 new BackendRequest(
                         settings.address(),
                         attempt.method(),
@@ -171,7 +172,7 @@
                 long pauseNanos = pauseNanos();
                 if (System.nanoTime() + pauseNanos - deadlineNanos < 0) {
                     readRetries.increment();
-                    var unused = eventLoops.schedule(this::start, pauseNanos, TimeUnit.NANOSECONDS);
+                    var unused = eventLoop.schedule(this::start, pauseNanos, TimeUnit.NANOSECONDS);
                     return;
                 }
             }
--- a/router/src/main/java/org/coltsfootquay/router/platform/PlatformClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformClient.java
@@ -1,5 +1,6 @@
 package org.coltsfootquay.router.platform;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
@@ -35,7 +36,9 @@
      */
     public PlatformClient(
             PlatformClientSettings settings, EventLoopGroup eventLoops, Executor callbacks, RandomGenerator random) {
-        this.calls = new PlatformCalls(settings, eventLoops, new BackendClient(eventLoops, traffic), callbacks, random);
+        // One loop, so that all calls share one pool of connections.
+        EventLoop eventLoop = eventLoops.next();
+        this.calls = new PlatformCalls(settings, eventLoop, new BackendClient(eventLoop, traffic), callbacks, random);
         this.tableStore = new TableStoreClient(calls);
         this.objectStore = new ObjectStoreClient(calls);
         this.vmList = new VmListClient(calls);
