Add gap monitor and invariant monitor

Cause: G1, G2, G3 and G11 must be checked while the program runs. Conclusion: other packages report violations of other guarantees through violated().

--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/GapMonitor.java
@@ -0,0 +1,113 @@
+package org.coltsfootquay.decision.fairness;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.common.WorkspaceId;
+
+/**
+ * Measures the fairness gap of one service: the largest difference in service of two workspaces over any interval in
+ * which both stay backlogged.
+ *
+ * <p>An observation takes time quadratic in the number of backlogged workspaces; one a second is enough.
+ */
+public final class GapMonitor {
+
+    private final Map<WorkspaceId, Integer> indexes = new HashMap<>();
+    private final List<Long> service = new ArrayList<>();
+    private final Map<Long, Pair> pairs = new HashMap<>();
+    private Optional<Gap> largest = Optional.empty();
+
+    /**
+     * Difference in service between two workspaces.
+     *
+     * @param first workspace that received more
+     * @param second workspace that received less
+     * @param units difference in service units
+     */
+    public record Gap(WorkspaceId first, WorkspaceId second, long units) {}
+
+    private static final class Pair {
+
+        private final long start;
+        private long smallest;
+        private long largest;
+
+        private Pair(long start) {
+            this.start = start;
+        }
+    }
+
+    /**
+     * Adds service to a workspace.
+     *
+     * @param workspace workspace
+     * @param units service units
+     */
+    public void add(WorkspaceId workspace, long units) {
+        int index = index(workspace);
+        service.set(index, service.get(index) + units);
+    }
+
+    /**
+     * Observes which workspaces are backlogged now; a workspace that is absent begins a new interval when it returns.
+     *
+     * @param backlogged workspaces with waiting requests since the last observation
+     * @return largest gap among intervals that are still open
+     */
+    public Optional<Gap> observe(Set<WorkspaceId> backlogged) {
+        List<WorkspaceId> present = backlogged.stream().sorted().toList();
+        Map<Long, Pair> open = new HashMap<>();
+        Optional<Gap> now = Optional.empty();
+        for (int i = 0; i < present.size(); i++) {
+            for (int j = i + 1; j < present.size(); j++) {
+                int first = index(present.get(i));
+                int second = index(present.get(j));
+                long key = ((long) first << 32) | second;
+                long difference = service.get(first) - service.get(second);
+                Pair pair = pairs.get(key);
+                if (pair == null) {
+                    pair = new Pair(difference);
+                }
+                open.put(key, pair);
+                long change = difference - pair.start;
+                pair.smallest = Math.min(pair.smallest, change);
+                pair.largest = Math.max(pair.largest, change);
+                long range = pair.largest - pair.smallest;
+                if (now.isEmpty() || range > now.get().units()) {
+                    boolean firstLeads = change > (pair.largest + pair.smallest) / 2;
+                    now = Optional.of(new Gap(present.get(firstLeads ? i : j), present.get(firstLeads ? j : i), range));
+                }
+            }
+        }
+        pairs.clear();
+        pairs.putAll(open);
+        if (now.isPresent()
+                && (largest.isEmpty() || now.get().units() > largest.get().units())) {
+            largest = now;
+        }
+        return now;
+    }
+
+    /**
+     * Returns the largest gap of all observations.
+     *
+     * @return gap, or empty when no two workspaces were backlogged at the same time
+     */
+    public Optional<Gap> largest() {
+        return largest;
+    }
+
+    private int index(WorkspaceId workspace) {
+        Integer known = indexes.get(workspace);
+        if (known != null) {
+            return known;
+        }
+        indexes.put(workspace, service.size());
+        service.add(0L);
+        return service.size() - 1;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/InvariantMonitor.java
@@ -0,0 +1,214 @@
+package org.coltsfootquay.decision.invariant;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.dispatch.ServerState;
+import org.coltsfootquay.decision.fairness.GapMonitor;
+import org.coltsfootquay.decision.timeline.EventKind;
+import org.coltsfootquay.decision.timeline.TimelineEvent;
+import org.coltsfootquay.decision.timeline.TimelineSink;
+
+/**
+ * Run-time checks of the guarantees G1, G2, G3 and G11, and the counter of violations for all guarantees.
+ *
+ * <p>Each violation increments a counter and records one event with the identifiers that explain it. Safe for use from
+ * several threads.
+ */
+public final class InvariantMonitor {
+
+    /** Part of the capacity that may be idle while admissible work waits. */
+    public static final double LARGEST_IDLE_PART = 0.01;
+
+    /** Time over which idle capacity is judged; shorter ones would count single probe periods as violations. */
+    public static final Duration IDLE_WINDOW = Duration.ofSeconds(60);
+
+    /** Time without a grant after which a waiting workspace counts as starving, when others were served meanwhile. */
+    public static final Duration STARVATION = Duration.ofSeconds(60);
+
+    private final TimelineSink sink;
+    private final Map<Guarantee, Long> violations = new EnumMap<>(Guarantee.class);
+    private final Map<ServiceName, IdleWindow> idle = new HashMap<>();
+
+    private static final class IdleWindow {
+        private long beginNanos;
+        private long lastNanos;
+        private double idleSlotSeconds;
+        private double capacitySlotSeconds;
+        private int idleSlots;
+        private int capacity;
+    }
+
+    /**
+     * Creates a monitor.
+     *
+     * @param sink receiver of violation events
+     */
+    public InvariantMonitor(TimelineSink sink) {
+        this.sink = ArgumentUtils.requireValue(sink, "sink");
+    }
+
+    /**
+     * Checks the fairness gap (G1).
+     *
+     * @param service service
+     * @param gap measured gap
+     * @param boundUnits bound in service units
+     * @return true if the gap is within the bound
+     */
+    public boolean checkGap(ServiceName service, GapMonitor.Gap gap, double boundUnits) {
+        return gap.units() <= boundUnits
+                || violated(
+                        Guarantee.G1,
+                        "service",
+                        service,
+                        "workspace",
+                        gap.first(),
+                        "other",
+                        gap.second(),
+                        "gap",
+                        gap.units(),
+                        "bound",
+                        Math.round(boundUnits));
+    }
+
+    /**
+     * Checks that a waiting workspace is served (G2).
+     *
+     * @param service service
+     * @param workspace workspace that has been waiting without a grant
+     * @param waiting time since it began to wait or was last granted a start
+     * @param grantsToOthers starts granted to other workspaces in that time
+     * @param backlogged number of backlogged workspaces
+     * @return true if the workspace does not starve
+     */
+    public boolean checkService(
+            ServiceName service, WorkspaceId workspace, Duration waiting, long grantsToOthers, int backlogged) {
+        // With weights of at least 1/64 a workspace is due after 64 rounds of the others, however far above the mean.
+        boolean starves = waiting.compareTo(STARVATION) > 0 && grantsToOthers > 64L * backlogged;
+        return !starves
+                || violated(
+                        Guarantee.G2,
+                        "service",
+                        service,
+                        "workspace",
+                        workspace,
+                        "waitingMillis",
+                        waiting.toMillis(),
+                        "grantsToOthers",
+                        grantsToOthers);
+    }
+
+    /**
+     * Checks a server right after a grant (G3).
+     *
+     * @param service service
+     * @param state state with the granted request
+     * @return true if the requests in flight are within the capacity
+     */
+    public boolean checkGrant(ServiceName service, ServerState state) {
+        return (state.inFlight() <= state.capacity() && state.admitting())
+                || violated(
+                        Guarantee.G3,
+                        "service",
+                        service,
+                        "server",
+                        state.server(),
+                        "inFlight",
+                        state.inFlight(),
+                        "capacity",
+                        state.capacity(),
+                        "admitting",
+                        state.admitting());
+    }
+
+    /**
+     * Checks the shares of a server's limit that routers use at the same time (G3).
+     *
+     * @param server server
+     * @param shares share by fencing number
+     * @return true if they add up to at most 1
+     */
+    public boolean checkShares(ServerName server, Map<Long, Double> shares) {
+        double sum = shares.values().stream().mapToDouble(Double::doubleValue).sum();
+        return sum <= 1 + 1e-9 || violated(Guarantee.G3, "server", server, "shares", sum, "fencing", shares.keySet());
+    }
+
+    /**
+     * Observes free slots and waiting requests of a service (G11); checks once a window.
+     *
+     * @param service service
+     * @param freeSlots slots that are free now on servers that admit work
+     * @param capacity all slots on servers that admit work
+     * @param waiting requests that wait and could start on any of these servers
+     * @param nowNanos current time
+     * @return true unless a window ended in which too much capacity was idle while work waited
+     */
+    public synchronized boolean observeIdle(
+            ServiceName service, int freeSlots, int capacity, int waiting, long nowNanos) {
+        IdleWindow window = idle.computeIfAbsent(service, any -> {
+            IdleWindow begun = new IdleWindow();
+            begun.beginNanos = nowNanos;
+            begun.lastNanos = nowNanos;
+            return begun;
+        });
+        double seconds = (nowNanos - window.lastNanos) / 1e9;
+        window.idleSlotSeconds += window.idleSlots * seconds;
+        window.capacitySlotSeconds += window.capacity * seconds;
+        window.lastNanos = nowNanos;
+        window.idleSlots = Math.min(freeSlots, waiting);
+        window.capacity = capacity;
+        if (nowNanos - window.beginNanos < IDLE_WINDOW.toNanos()) {
+            return true;
+        }
+        double part = window.capacitySlotSeconds == 0 ? 0 : window.idleSlotSeconds / window.capacitySlotSeconds;
+        window.beginNanos = nowNanos;
+        window.idleSlotSeconds = 0;
+        window.capacitySlotSeconds = 0;
+        return part <= LARGEST_IDLE_PART
+                || violated(Guarantee.G11, "service", service, "idlePart", part, "limit", LARGEST_IDLE_PART);
+    }
+
+    /**
+     * Records a violation that was found elsewhere.
+     *
+     * @param guarantee guarantee
+     * @param namesAndValues names and values in turn
+     * @return false, so that a check can return the call
+     */
+    public synchronized boolean violated(Guarantee guarantee, Object... namesAndValues) {
+        violations.merge(guarantee, 1L, Long::sum);
+        List<Object> fields = new ArrayList<>();
+        fields.add("reason");
+        fields.add(guarantee);
+        fields.addAll(List.of(namesAndValues));
+        sink.record(TimelineEvent.of(EventKind.INVARIANT_VIOLATED, fields.toArray()));
+        return false;
+    }
+
+    /**
+     * Returns the number of violations.
+     *
+     * @return violations by guarantee; guarantees without a violation are absent
+     */
+    public synchronized Map<Guarantee, Long> violations() {
+        return Map.copyOf(violations);
+    }
+
+    /**
+     * Returns the guarantees that were violated.
+     *
+     * @return guarantees
+     */
+    public synchronized Set<Guarantee> violatedGuarantees() {
+        return Set.copyOf(violations.keySet());
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/limit/ServerLimitTest.java
@@ -0,0 +1,147 @@
+package org.coltsfootquay.decision.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.OptionalInt;
+import org.coltsfootquay.decision.common.ClassName;
+import org.coltsfootquay.decision.configuration.ServiceKind;
+import org.junit.jupiter.api.Test;
+
+/** Guards against limits that overload a server, collapse on one congestion, or let a cold server be flooded. */
+final class ServerLimitTest {
+
+    private static final ClassName CLASS = new ClassName("summary");
+
+    private long now = Duration.ofHours(1).toNanos();
+    private final ServerLimit limit = new ServerLimit(LimitSettings.standard(), ServiceKind.MODEL, now);
+
+    @Test
+    void growsByOneEachSecondWhenFullyUsedWithinTarget() {
+        limit.restore(10, false);
+        seconds(5, 40, true);
+        assertTrue(limit.limit() >= 13 && limit.limit() <= 15, "limit " + limit.limit());
+    }
+
+    @Test
+    void doesNotGrowWhenNotFullyUsed() {
+        limit.restore(10, false);
+        seconds(5, 40, false);
+        assertEquals(10, limit.limit());
+    }
+
+    @Test
+    void doesNotGrowWithoutLatencySamples() {
+        limit.restore(10, false);
+        for (int i = 0; i < 5; i++) {
+            limit.occupied(10, true);
+            now += Duration.ofSeconds(1).toNanos();
+            limit.tick(now);
+        }
+        assertEquals(10, limit.limit());
+    }
+
+    @Test
+    void cutsToSevenTenthsWhenTokenIntervalExceedsTarget() {
+        limit.restore(100, false);
+        seconds(1, 40, true);
+        seconds(2, 80, true);
+        assertTrue(limit.limit() >= 69 && limit.limit() <= 72, "limit " + limit.limit());
+    }
+
+    @Test
+    void doesNotCutAgainBeforeTheRequestsInFlightHaveComeDown() {
+        limit.restore(100, false);
+        for (int i = 0; i < 20; i++) {
+            limit.occupied(100, false);
+            limit.tokenInterval(80, 57, now);
+            now += Duration.ofSeconds(1).toNanos();
+            limit.tick(now);
+        }
+        assertEquals(70, limit.limit());
+    }
+
+    @Test
+    void countsManySlowStreamsOfOneSecondAsOneSign() {
+        limit.restore(100, false);
+        for (int i = 0; i < 50; i++) {
+            limit.tokenInterval(80, 57, now);
+        }
+        now += Duration.ofSeconds(1).toNanos();
+        limit.tick(now);
+        assertEquals(70, limit.limit());
+    }
+
+    @Test
+    void rampAddsOneSlotForEachCompletedRequestUpToFormerLimit() {
+        limit.restore(4, false);
+        limit.foundCold(OptionalInt.empty(), now);
+        assertEquals(1, limit.limit());
+        limit.completed(CLASS, 1_000, now);
+        limit.completed(CLASS, 1_000, now);
+        assertEquals(3, limit.limit());
+        assertTrue(limit.ramping());
+        limit.completed(CLASS, 1_000, now);
+        limit.completed(CLASS, 1_000, now);
+        assertEquals(4, limit.limit());
+        assertFalse(limit.ramping());
+    }
+
+    @Test
+    void rampBeginsWithWhatTheServerCanHandle() {
+        limit.restore(40, false);
+        limit.loadReported(0, 0, true, OptionalInt.of(5), 2_000, now);
+        assertEquals(5, limit.limit());
+    }
+
+    @Test
+    void decreasedUptimeMeansRestart() {
+        limit.restore(40, false);
+        limit.loadReported(10, 0, false, OptionalInt.empty(), 500_000, now);
+        assertEquals(40, limit.limit());
+        limit.loadReported(0, 0, false, OptionalInt.empty(), 100_000, now);
+        assertEquals(1, limit.limit());
+    }
+
+    @Test
+    void latencyFarAboveItsUsualValueMeansCold() {
+        limit.restore(40, false);
+        seconds(8, 20, false);
+        seconds(2, 90, false);
+        assertTrue(limit.ramping());
+    }
+
+    @Test
+    void serverWithoutHistoryLeavesRampAtFirstSlowTokens() {
+        for (int i = 0; i < 9; i++) {
+            limit.completed(CLASS, 1_000, now);
+        }
+        assertEquals(10, limit.limit());
+        seconds(2, 80, false);
+        assertFalse(limit.ramping());
+        assertEquals(7, limit.limit());
+    }
+
+    @Test
+    void applicationServerIsJudgedByItsSmallestResponseTime() {
+        ServerLimit application = new ServerLimit(LimitSettings.standard(), ServiceKind.APPLICATION, now);
+        application.restore(10, false);
+        application.completed(CLASS, 20, now);
+        for (int i = 0; i < 3; i++) {
+            now += Duration.ofSeconds(1).toNanos();
+            application.completed(CLASS, 60, now);
+        }
+        assertEquals(7, application.limit());
+    }
+
+    private void seconds(int count, int worstMillis, boolean full) {
+        for (int i = 0; i < count; i++) {
+            limit.occupied(limit.limit(), full);
+            limit.tokenInterval(worstMillis, 57, now);
+            now += Duration.ofSeconds(1).toNanos();
+            limit.tick(now);
+        }
+    }
+}
