Check that deliberate faults in requests are found

Cause: a check that sees nothing proves nothing. Change: seven test copies of the request flow with one fault each; properties over random faults and events.

--- a/decision/src/test/java/org/coltsfootquay/decision/request/FakeCaller.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/FakeCaller.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.coltsfootquay.decision.configuration.ServiceKind;
 
 /** Caller that keeps what it received and what it may conclude from it. */
 final class FakeCaller {
@@ -21,6 +22,9 @@
     }
 
     void receive(RequestAction action) {
+        if (!isForCaller(action)) {
+            return;
+        }
         if (!end.isEmpty()) {
             if (!end.equals("gone") && !end.equals("connection broken")) {
                 faults.add("received after the end: " + action);
@@ -33,9 +37,7 @@
             if (!started || part.position() != next) {
                 faults.add("part at " + part.position() + " instead of " + next);
             }
-            next += request.kind() == org.coltsfootquay.decision.configuration.ServiceKind.MODEL
-                    ? 1
-                    : part.data().length;
+            next += request.kind() == ServiceKind.MODEL ? 1 : part.data().length;
             received.append(new String(part.data(), StandardCharsets.UTF_8));
         } else if (action instanceof RequestAction.FinishAnswer) {
             complete = true;
@@ -53,6 +55,15 @@
         }
     }
 
+    private static boolean isForCaller(RequestAction action) {
+        return action instanceof RequestAction.StartAnswer
+                || action instanceof RequestAction.PassPart
+                || action instanceof RequestAction.FinishAnswer
+                || action instanceof RequestAction.GiveAnswer
+                || action instanceof RequestAction.Refuse
+                || action instanceof RequestAction.EndWithError;
+    }
+
     void leave(String reason) {
         if (end.isEmpty()) {
             end = reason;
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/MutantFlows.java
@@ -0,0 +1,191 @@
+package org.coltsfootquay.decision.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.configuration.ClassOfWork;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.placement.OwnerSelector;
+import org.coltsfootquay.decision.retry.RetryPolicy;
+import org.coltsfootquay.decision.store.WriteOutcome;
+import org.coltsfootquay.decision.store.WriteResult;
+import org.coltsfootquay.decision.timeline.TimelineSink;
+
+/** Test copies of the request flow with one deliberate fault each. */
+enum MutantFlows {
+    /** Accepts messages of any attempt. */
+    ATTEMPT_NOT_CHECKED("G5") {
+        @Override
+        RequestEvent event(RequestEvent event, RequestFlow flow) {
+            if (event instanceof RequestEvent.PartReceived part
+                    && flow.attempt().isPresent()) {
+                return new RequestEvent.PartReceived(flow.attempt().get(), part.position(), part.data());
+            }
+            return event;
+        }
+    },
+    /** Loses the third part of an answer. */
+    PART_LOST("G5") {
+        @Override
+        Optional<RequestAction> action(RequestAction action) {
+            boolean third = action instanceof RequestAction.PassPart part && part.position() == 2;
+            return third ? Optional.empty() : Optional.of(action);
+        }
+    },
+    /** Takes the end of a connection for the end of an answer. */
+    BROKEN_TAKEN_FOR_COMPLETE("G5") {
+        @Override
+        RequestEvent event(RequestEvent event, RequestFlow flow) {
+            return event instanceof RequestEvent.ConnectionBroken broken
+                    ? new RequestEvent.AnswerEnded(broken.attempt(), -1, "")
+                    : event;
+        }
+    },
+    /** Claims that no failed request ran. */
+    ALWAYS_NOT_RUN("G6") {
+        @Override
+        Optional<RequestAction> action(RequestAction action) {
+            if (action instanceof RequestAction.Refuse refuse) {
+                return Optional.of(new RequestAction.Refuse(notRun(refuse.error())));
+            }
+            if (action instanceof RequestAction.EndWithError end) {
+                return Optional.of(new RequestAction.EndWithError(notRun(end.error())));
+            }
+            return Optional.of(action);
+        }
+    },
+    /** Takes a write whose outcome is unknown for applied. */
+    UNKNOWN_TAKEN_FOR_APPLIED("G7") {
+        @Override
+        RequestEvent event(RequestEvent event, RequestFlow flow) {
+            if (event instanceof RequestEvent.RecordWritten written
+                    && written.result().outcome() == WriteOutcome.UNKNOWN) {
+                WriteResult applied = new WriteResult(WriteOutcome.APPLIED, 1, Optional.empty());
+                return new RequestEvent.RecordWritten(written.sequence(), applied);
+            }
+            return event;
+        }
+    },
+    /** Treats a booking as if it could be repeated. */
+    BOOKING_REPEATED("G7") {
+        @Override
+        CallerRequest request(CallerRequest request) {
+            ClassOfWork work = request.classOfWork();
+            ClassOfWork repeatable = new ClassOfWork(
+                    work.name(), work.service(), work.target(), work.patience(), true, work.routes(), true);
+            return new CallerRequest(
+                    request.id(),
+                    request.workspace(),
+                    repeatable,
+                    request.kind(),
+                    request.estimatedInputUnits(),
+                    request.estimatedOutputUnits(),
+                    request.prefixHashes(),
+                    request.streamed(),
+                    request.idempotency());
+        }
+    },
+    /** Stays open after its end, so that the process exits with open requests. */
+    NEVER_CLOSED("G9") {
+        @Override
+        Optional<RequestAction> action(RequestAction action) {
+            return action instanceof RequestAction.Close ? Optional.empty() : Optional.of(action);
+        }
+    };
+
+    final String guarantee;
+
+    MutantFlows(String guarantee) {
+        this.guarantee = guarantee;
+    }
+
+    CallerRequest request(CallerRequest request) {
+        return request;
+    }
+
+    RequestEvent event(RequestEvent event, RequestFlow flow) {
+        return event;
+    }
+
+    Optional<RequestAction> action(RequestAction action) {
+        return Optional.of(action);
+    }
+
+    FlowPort.Factory factory() {
+        return (request, environment) -> {
+            RequestFlow flow = new RequestFlow(request(request), new Unobserved(environment));
+            return new FlowPort() {
+                @Override
+                public List<RequestAction> handle(RequestEvent received, long nowNanos) {
+                    List<RequestAction> actions = new ArrayList<>();
+                    for (RequestAction action : flow.handle(event(received, flow), nowNanos)) {
+                        action(action).ifPresent(actions::add);
+                    }
+                    environment.observer().handled(request, received, actions, nowNanos);
+                    return actions;
+                }
+
+                @Override
+                public boolean maySend(RequestAttempt attempt, long nowNanos) {
+                    return flow.maySend(attempt, nowNanos);
+                }
+            };
+        };
+    }
+
+    private static ErrorReply notRun(ErrorReply error) {
+        return new ErrorReply(error.code(), ErrorReply.Execution.NOT_RUN, error.message(), error.retryAfter());
+    }
+
+    /** Environment without observer: the checks see what the faulty copy does. */
+    private record Unobserved(RequestEnvironment inner) implements RequestEnvironment {
+
+        @Override
+        public RouterId self() {
+            return inner.self();
+        }
+
+        @Override
+        public long incarnation() {
+            return inner.incarnation();
+        }
+
+        @Override
+        public FleetConfiguration configuration() {
+            return inner.configuration();
+        }
+
+        @Override
+        public MembershipView members() {
+            return inner.members();
+        }
+
+        @Override
+        public boolean cutOff() {
+            return inner.cutOff();
+        }
+
+        @Override
+        public OwnerSelector owners() {
+            return inner.owners();
+        }
+
+        @Override
+        public RetryPolicy retries() {
+            return inner.retries();
+        }
+
+        @Override
+        public TimelineSink timeline() {
+            return inner.timeline();
+        }
+
+        @Override
+        public RequestObserver observer() {
+            return RequestObserver.NONE;
+        }
+    }
+}
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestRun.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestRun.java
@@ -83,7 +83,8 @@
             }
         });
         for (RequestWorld.Entry entry : List.of(world.first, world.second)) {
-            if (entry.openFlows() != 0 || !entry.invariants().stops().exiting()) {
+            boolean nothingOpen = entry.invariants().stops().exiting();
+            if (entry.openFlows() != 0 || !nothingOpen) {
                 failures.add("G9: open flows at " + entry.id + ": " + entry.openFlows());
             }
         }
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
@@ -365,7 +365,7 @@
                 server(cancel.server()).connections.stream()
                         .filter(connection -> connection.attempt.equals(cancel.attempt()))
                         .forEach(connection -> connection.open = false);
-                // A part that was on its way when the request was cancelled.
+                // Parts that were on their way when the request was cancelled, also while the next attempt runs.
                 deliverLate(request, cancel.attempt());
             } else if (action instanceof RequestAction.WriteRecord write) {
                 after(2, () -> write(request, write));
@@ -385,11 +385,13 @@
 
         private void deliverLate(RequestId request, RequestAttempt attempt) {
             byte[] late = "late".getBytes(StandardCharsets.UTF_8);
-            for (int position = 0; position <= TOKENS; position++) {
-                RequestEvent part = new RequestEvent.PartReceived(attempt, position, late);
-                after(1, () -> deliver(request, part));
+            for (int delay : new int[] {1, 18, 23, 28, 60}) {
+                for (int position = 0; position <= TOKENS; position++) {
+                    RequestEvent part = new RequestEvent.PartReceived(attempt, position, late);
+                    after(delay, () -> deliver(request, part));
+                }
+                after(delay, () -> deliver(request, new RequestEvent.AnswerEnded(attempt, -1, "")));
             }
-            after(1, () -> deliver(request, new RequestEvent.AnswerEnded(attempt, -1, "")));
         }
 
         private void write(RequestId request, RequestAction.WriteRecord write) {
