--- a/decision/src/main/java/org/coltsfootquay/decision/placement/TwoChoiceSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/placement/TwoChoiceSelector.java
@@ -1,7 +1,6 @@
 package org.coltsfootquay.decision.placement;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,12 +76,13 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        RouterId first = draw(candidates, excluded, null, nowNanos);
-        RouterId best = better(service, first, draw(candidates, excluded, first, nowNanos), nowNanos);
+        int firstIndex = drawIndex(candidates, excluded, -1, nowNanos);
+        int secondIndex = firstIndex < 0 ? -1 : drawIndex(candidates, excluded, firstIndex, nowNanos);
+        RouterId best = better(service, at(candidates, firstIndex), at(candidates, secondIndex), nowNanos);
         Optional<PrefixTable.Match> match = prefixes.longest(prefixHashes);
         if (match.isPresent()) {
             RouterId holder = ownerOf(map, match.get().server());
-            boolean usable = holder != null && !excluded.contains(holder) && !isAvoided(holder, nowNanos);
+            boolean usable = holder != null && isUsable(holder, excluded, nowNanos);
             if (usable) {
                 double score = score(service, holder, nowNanos)
                         - PREFIX_BONUS_MILLIS * match.get().part();
@@ -120,24 +120,40 @@
         prefixes.removed(server, prefixHashes);
     }
 
-    /** Draws a random owner; falls back to the first usable one when the draws hit only excluded ones. */
-    private RouterId draw(List<RouterId> candidates, Set<RouterId> excluded, RouterId other, long nowNanos) {
+    /**
+     * Draws the index of a random owner other than the first one; looks at all only when the draws of the first one hit
+     * owners that cannot be used.
+     */
+    private int drawIndex(List<RouterId> candidates, Set<RouterId> excluded, int firstIndex, long nowNanos) {
+        int size = candidates.size();
+        if (firstIndex >= 0 && size == 1) {
+            return -1;
+        }
         for (int i = 0; i < DRAWS; i++) {
-            RouterId drawn = candidates.get(random.nextInt(candidates.size()));
-            if (!drawn.equals(other) && !excluded.contains(drawn) && !isAvoided(drawn, nowNanos)) {
+            int drawn = firstIndex < 0 ? random.nextInt(size) : (firstIndex + 1 + random.nextInt(size - 1)) % size;
+            if (isUsable(candidates.get(drawn), excluded, nowNanos)) {
                 return drawn;
             }
         }
-        if (other != null) {
-            return null;
+        if (firstIndex >= 0) {
+            return -1;
         }
-        List<RouterId> usable = new ArrayList<>();
-        for (RouterId candidate : candidates) {
-            if (!excluded.contains(candidate) && !isAvoided(candidate, nowNanos)) {
-                usable.add(candidate);
+        int start = random.nextInt(size);
+        for (int i = 0; i < size; i++) {
+            int index = (start + i) % size;
+            if (isUsable(candidates.get(index), excluded, nowNanos)) {
+                return index;
             }
         }
-        return usable.isEmpty() ? null : usable.get(random.nextInt(usable.size()));
+        return -1;
+    }
+
+    private boolean isUsable(RouterId owner, Set<RouterId> excluded, long nowNanos) {
+        return !excluded.contains(owner) && !isAvoided(owner, nowNanos);
+    }
+
+    private static RouterId at(List<RouterId> candidates, int index) {
+        return index < 0 ? null : candidates.get(index);
     }
 
     private RouterId better(ServiceName service, RouterId first, RouterId second, long nowNanos) {
--- a/decision/src/test/java/org/coltsfootquay/decision/request/FakeTable.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/FakeTable.java
@@ -10,12 +10,12 @@
 import org.coltsfootquay.decision.store.WriteResult;
 
 /** Table service in memory that evaluates the conditions of puts. */
-final class FakeTable {
+public final class FakeTable {
 
     private final Map<String, Row> rows = new HashMap<>();
     private long revision;
 
-    WriteResult apply(RowWrite write) {
+    public WriteResult apply(RowWrite write) {
         RowWrite.Put put = (RowWrite.Put) write;
         Row current = rows.get(put.key());
         if (!holds(put.condition(), current)) {
@@ -26,11 +26,11 @@
         return new WriteResult(WriteOutcome.APPLIED, revision, Optional.empty());
     }
 
-    Optional<Row> read(String key) {
+    public Optional<Row> read(String key) {
         return Optional.ofNullable(rows.get(key));
     }
 
-    void expire(String key) {
+    public void expire(String key) {
         rows.computeIfPresent(key, (name, row) -> new Row(name, row.value(), row.revision(), false, true));
     }
 
