--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -85,6 +85,7 @@
     private final OwnerRouter owner;
     private final RecordService records;
     private final ConfigurationExchange configurations;
+    private final TotalsExchange totals;
     private final AtomicLong lastHeardNanos = new AtomicLong(Long.MIN_VALUE / 2);
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -137,6 +138,8 @@
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
                 frames::send,
                 System::nanoTime);
+        this.totals =
+                new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
         this.entry = entryRouter();
         frames.connect(network, entry, owner, this::controlFrame);
         registerGauges();
@@ -198,15 +201,10 @@
     /** Ends everything at once, as a crash does; the rows in the store stay until they expire. */
     public void kill() {
         stopping = true;
-        control.stop();
-        owner.close();
-        network.close();
-        backend.close();
         if (frontEnd != null) {
             frontEnd.close();
         }
-        platform.close().run();
-        var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
+        close();
     }
 
     /**
@@ -369,6 +367,7 @@
         blackboard.cell(OwnedServers.TOPIC).subscribe(owner::ownedServers);
         blackboard.cell(ServiceTotals.TOPIC).subscribe(owner::totals);
         records.start();
+        totals.start();
         plane.start();
         ServerWatch watch =
                 new ServerWatch(settings.id(), blackboard, calls, owner, frames, new SplittableRandom(startMillis));
@@ -384,9 +383,13 @@
     }
 
     private void controlFrame(RouterId from, Frame frame) {
-        if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
-            control.execute(() -> configurations.received(from, frame.getConfigurationNotice()));
-        }
+        control.execute(() -> {
+            if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
+                configurations.received(from, frame.getConfigurationNotice());
+            } else {
+                totals.received(from, frame);
+            }
+        });
     }
 
     private void checkReady() {
@@ -417,14 +420,16 @@
     private void stopEnded() {
         invariants.stops().exiting();
         timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPED, "router", settings.id()));
-        var unused = frontEnd.drain().thenRun(() -> {
-            control.stop();
-            owner.close();
-            network.close();
-            backend.close();
-            platform.close().run();
-            var ended = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
-        });
+        var unused = frontEnd.drain().thenRun(this::close);
+    }
+
+    private void close() {
+        control.stop();
+        owner.close();
+        network.close();
+        backend.close();
+        platform.close().run();
+        var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
     }
 
     private void registerGauges() {
--- a/router/src/main/java/org/coltsfootquay/router/daemon/ServerWatch.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/ServerWatch.java
@@ -60,7 +60,7 @@
 
     /** Probes one other owner for each service that has free slots and no queue, or a queue and no free slot. */
     void probe() {
-        owner.loads().thenAccept(loads -> loads.forEach(this::probe));
+        owner.loads(loads -> loads.forEach(this::probe));
     }
 
     private void probe(ServiceName service, ServiceTotals.OwnerLoad load) {
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -0,0 +1,125 @@
+package org.coltsfootquay.router.daemon;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.configuration.ConfigurationTopic;
+import org.coltsfootquay.decision.fairness.FleetTotals;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.fairness.TotalsNode;
+import org.coltsfootquay.decision.membership.Member;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.membership.RegionStoreReport;
+import org.coltsfootquay.decision.store.StoreContact;
+import org.coltsfootquay.protocol.generated.Frame;
+import org.coltsfootquay.router.entry.OwnerPort;
+import org.coltsfootquay.router.owner.OwnerRouter;
+
+/** This router's part in the aggregation tree; runs on the control thread. */
+final class TotalsExchange {
+
+    /** Shorter than the shortest period of a node, which decides itself when a report is due. */
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
+
+    private final ControlThread control;
+    private final Blackboard blackboard;
+    private final OwnerRouter owner;
+    private final OwnerPort peers;
+    private final RegionName region;
+    private final TotalsNode node;
+    private boolean draining;
+
+    TotalsExchange(
+            ControlThread control,
+            Blackboard blackboard,
+            OwnerRouter owner,
+            OwnerPort peers,
+            RouterId self,
+            RegionName region,
+            long session) {
+        this.control = control;
+        this.blackboard = blackboard;
+        this.owner = owner;
+        this.peers = peers;
+        this.region = region;
+        this.node = new TotalsNode(self, session);
+    }
+
+    void start() {
+        blackboard.cell(MembershipView.TOPIC).subscribe(this::membersChanged);
+        control.timer().every("totals", CHECK_PERIOD, this::drain);
+    }
+
+    /** Takes a message of the tree; false when the frame is none. */
+    boolean received(RouterId from, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case USAGE_REPORT -> node.receive(from, TotalsFrames.report(frame.getUsageReport()), now());
+            case FLEET_TOTALS -> node.receive(from, TotalsFrames.totals(frame.getFleetTotals()), now());
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void membersChanged(MembershipView view) {
+        Set<RouterId> otherRoots = new HashSet<>();
+        view.members().values().stream()
+                .map(Member::region)
+                .distinct()
+                .filter(other -> !other.equals(region))
+                .forEach(other -> otherRoots.add(view.ranked(other).get(0).id()));
+        node.members(view.ranked(region).stream().map(Member::id).toList(), now());
+        node.otherRoots(otherRoots);
+    }
+
+    private void drain() {
+        if (!draining) {
+            draining = true;
+            owner.drainUsage(usage -> control.execute(() -> exchange(usage)));
+        }
+    }
+
+    private void exchange(OwnerRouter.Usage usage) {
+        draining = false;
+        Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
+        usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
+        node.local(
+                blackboard.read(StoreContact.TOPIC).reachable(),
+                blackboard.read(ConfigurationTopic.IN_FORCE).version());
+        node.charge(usage.increments(), loads, now());
+        TotalsNode.Output output = node.tick(now());
+        output.parent()
+                .ifPresent(
+                        parent -> output.report().ifPresent(report -> peers.send(parent, TotalsFrames.frame(report))));
+        output.exchange().forEach((root, report) -> peers.send(root, TotalsFrames.frame(report)));
+        output.totals().forEach((child, totals) -> peers.send(child, TotalsFrames.frame(totals)));
+        publish();
+    }
+
+    private void publish() {
+        ServiceTotals totals = node.serviceTotals();
+        if (totals.version() == blackboard.read(ServiceTotals.TOPIC).version()) {
+            return;
+        }
+        blackboard.write(ServiceTotals.TOPIC, totals);
+        FleetTotals fleet = node.totals();
+        blackboard.write(
+                RegionStoreReport.TOPIC,
+                new RegionStoreReport(
+                        fleet.routers(),
+                        fleet.routersWithoutStore(),
+                        now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
+    }
+
+    private long now() {
+        return control.timer().nowNanos();
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -207,17 +206,15 @@
     /**
      * Reads the loads of all services.
      *
-     * @return loads, completed on the dispatch thread
+     * @param receiver receives them, on the dispatch thread
      */
-    public CompletableFuture<Map<ServiceName, ServiceTotals.OwnerLoad>> loads() {
-        CompletableFuture<Map<ServiceName, ServiceTotals.OwnerLoad>> result = new CompletableFuture<>();
+    public void loads(Consumer<Map<ServiceName, ServiceTotals.OwnerLoad>> receiver) {
         post(() -> {
             Map<ServiceName, ServiceTotals.OwnerLoad> loads = new TreeMap<>();
             long now = clock.getAsLong();
             dispatchers.forEach((service, dispatcher) -> loads.put(service, dispatcher.load(now)));
-            result.complete(loads);
+            receiver.accept(loads);
         });
-        return result;
     }
 
     /**
