--- a/decision/src/test/java/org/coltsfootquay/decision/invariant/InvariantMonitorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/invariant/PolicyInvariantsTest.java
@@ -17,18 +17,19 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against checks that do not notice a violation: each test makes one by hand. */
-final class InvariantMonitorTest {
+final class PolicyInvariantsTest {
 
     private static final ServiceName SERVICE = new ServiceName("lm");
 
     private final List<TimelineEvent> events = new ArrayList<>();
     private final InvariantMonitor monitor = new InvariantMonitor(events::add);
+    private final PolicyInvariants invariants = new PolicyInvariants(monitor);
 
     @Test
     void noticesGapAboveTheBound() {
         GapMonitor.Gap gap = new GapMonitor.Gap(new WorkspaceId("a"), new WorkspaceId("b"), 1_001);
-        assertTrue(monitor.checkGap(SERVICE, gap, 1_001));
-        assertFalse(monitor.checkGap(SERVICE, gap, 1_000));
+        assertTrue(invariants.checkGap(SERVICE, gap, 1_001));
+        assertFalse(invariants.checkGap(SERVICE, gap, 1_000));
         assertViolated(Guarantee.G1);
         assertEquals("a", events.get(0).fields().get("workspace"));
     }
@@ -36,31 +37,31 @@
     @Test
     void noticesStarvingWorkspace() {
         WorkspaceId workspace = new WorkspaceId("a");
-        assertTrue(monitor.checkService(SERVICE, workspace, Duration.ofSeconds(61), 128, 2));
-        assertTrue(monitor.checkService(SERVICE, workspace, Duration.ofSeconds(60), 10_000, 2));
-        assertFalse(monitor.checkService(SERVICE, workspace, Duration.ofSeconds(61), 129, 2));
+        assertTrue(invariants.checkService(SERVICE, workspace, Duration.ofSeconds(61), 128, 2));
+        assertTrue(invariants.checkService(SERVICE, workspace, Duration.ofSeconds(60), 10_000, 2));
+        assertFalse(invariants.checkService(SERVICE, workspace, Duration.ofSeconds(61), 129, 2));
         assertViolated(Guarantee.G2);
     }
 
     @Test
     void noticesGrantAboveTheCapacity() {
         ServerName server = new ServerName("s");
-        assertTrue(monitor.checkGrant(SERVICE, new ServerState(server, 4, 4, true, true)));
-        assertFalse(monitor.checkGrant(SERVICE, new ServerState(server, 5, 4, true, true)));
+        assertTrue(invariants.checkGrant(SERVICE, new ServerState(server, 4, 4, true, true)));
+        assertFalse(invariants.checkGrant(SERVICE, new ServerState(server, 5, 4, true, true)));
         assertViolated(Guarantee.G3);
     }
 
     @Test
     void noticesGrantOnServerThatDoesNotAdmitWork() {
-        assertFalse(monitor.checkGrant(SERVICE, new ServerState(new ServerName("s"), 1, 4, false, false)));
+        assertFalse(invariants.checkGrant(SERVICE, new ServerState(new ServerName("s"), 1, 4, false, false)));
         assertViolated(Guarantee.G3);
     }
 
     @Test
     void noticesSharesAboveOne() {
         ServerName server = new ServerName("s");
-        assertTrue(monitor.checkShares(server, Map.of(1L, 0.5, 2L, 0.5)));
-        assertFalse(monitor.checkShares(server, Map.of(1L, 1.0, 2L, 0.5)));
+        assertTrue(invariants.checkShares(server, Map.of(1L, 0.5, 2L, 0.5)));
+        assertFalse(invariants.checkShares(server, Map.of(1L, 1.0, 2L, 0.5)));
         assertViolated(Guarantee.G3);
     }
 
@@ -82,12 +83,13 @@
     }
 
     private boolean observe(int free, int capacity, int waiting, long seconds) {
-        return monitor.observeIdle(
+        return invariants.observeIdle(
                 SERVICE, free, capacity, waiting, Duration.ofSeconds(seconds).toNanos());
     }
 
     private void assertViolated(Guarantee guarantee) {
-        assertEquals(Map.of(guarantee, 1L), monitor.violations());
+        assertEquals(1, monitor.count(guarantee));
+        assertEquals(1, monitor.total());
         assertEquals(1, events.size());
     }
 }
