Do not send platform calls that have too little time left

Cause: a write that waited until its timeout was sent when another call ended a moment earlier, and its outcome became unknown. Change: a call with less than a tenth of its timeout left fails unsent. Figures: 53 tests of module router pass (mvn -pl router -am verify). Conclusion: waiting calls end with a known outcome.

--- a/router/src/main/java/org/coltsfootquay/router/platform/PlatformCalls.java
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformCalls.java
@@ -26,6 +26,12 @@
     private static final EventLog LOG = EventLog.of(PlatformCalls.class);
     private static final byte[] NO_BODY = new byte[0];
 
+    /**
+     * A call with less than this part of its timeout left is not sent: an answer is unlikely to come in time, and the
+     * outcome of a write that was not sent is known.
+     */
+    private static final int LEAST_PART_OF_TIMEOUT = 10;
+
     private final PlatformClientSettings settings;
     private final EventLoop eventLoop;
     private final BackendClient http;
@@ -129,7 +135,12 @@
     }
 
     private void send(PlatformAttempt attempt) {
-        Duration remaining = Duration.ofNanos(Math.max(1_000_000, attempt.deadlineNanos() - System.nanoTime()));
+        long remainingNanos = attempt.deadlineNanos() - System.nanoTime();
+        if (remainingNanos < settings.callTimeout().toNanos() / LEAST_PART_OF_TIMEOUT) {
+            attempt.giveUp("too little time was left after waiting for other calls");
+            return;
+        }
+        Duration remaining = Duration.ofNanos(remainingNanos);
         Map<String, String> headers =
                 attempt.method().equals("POST") ? Map.of("content-type", "application/json") : Map.of();
         attempt.sentBy(http.send(
