Read stand-in settings with the settings module

Cause: the settings module lists mistakes with path and remedy; the stand-ins had their own reader. Change: SettingsJson works on SettingsObject, which gains decimal numbers. Conclusion: stand-in settings can be nested in other settings files.

--- a/settings/src/main/java/org/coltsfootquay/settings/SettingsObject.java
+++ b/settings/src/main/java/org/coltsfootquay/settings/SettingsObject.java
@@ -129,6 +129,26 @@
         return has(field) ? checkedNumber(field, node.get(field), min, max) : defaultValue;
     }
 
+    /**
+     * Reads an optional decimal number.
+     *
+     * @param field name of the field
+     * @param defaultValue value when the field is absent
+     * @return the number
+     */
+    public double decimal(String field, double defaultValue) {
+        known.add(field);
+        if (!has(field)) {
+            return defaultValue;
+        }
+        JsonNode value = node.get(field);
+        if (!value.isNumber()) {
+            problem(field, describe(value), "write a number");
+            return defaultValue;
+        }
+        return value.doubleValue();
+    }
+
     /**
      * Reads an optional truth value.
      *
--- a/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationSettings.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationSettings.java
@@ -1,6 +1,6 @@
 package org.coltsfootquay.standin.application;
 
-import org.coltsfootquay.standin.settings.Mistakes;
+import org.coltsfootquay.standin.settings.RangeCheck;
 
 /**
  * Settings of an application server stand-in.
@@ -31,7 +31,7 @@
 
     /** Checks the ranges. */
     public ApplicationSettings {
-        new Mistakes()
+        new RangeCheck()
                 .range("serviceMillis", serviceMillis, 0, MAX_MILLIS)
                 .range("capacity", capacity, 1, MAX_REQUESTS)
                 .range("collapseAt", collapseAt, capacity + 1.0, MAX_REQUESTS)
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineSettings.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineSettings.java
@@ -1,6 +1,6 @@
 package org.coltsfootquay.standin.engine;
 
-import org.coltsfootquay.standin.settings.Mistakes;
+import org.coltsfootquay.standin.settings.RangeCheck;
 
 /**
  * Settings of an engine stand-in.
@@ -52,7 +52,7 @@
 
     /** Checks the ranges. */
     public EngineSettings {
-        new Mistakes()
+        new RangeCheck()
                 .range("knee", knee, 1, MAX_STREAMS)
                 .range("capacity", capacity, knee, MAX_STREAMS)
                 .range("collapseAt", collapseAt, capacity + 1.0, MAX_STREAMS)
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
@@ -1,16 +1,18 @@
 package org.coltsfootquay.standin.fault;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
-import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsProblem;
+import org.coltsfootquay.settings.SettingsReader;
 import org.coltsfootquay.standin.http.Exchange;
 import org.coltsfootquay.standin.http.JsonUtils;
 import org.coltsfootquay.standin.http.RequestHandler;
-import org.coltsfootquay.standin.settings.Mistake;
-import org.coltsfootquay.standin.settings.SettingsException;
 import org.coltsfootquay.standin.settings.SettingsJson;
 
 /**
@@ -90,40 +92,32 @@
             return;
         }
         try {
-            turn(exchange.json());
-            exchange.answer(200, SettingsJson.write(switches.current()));
+            List<Runnable> chosen = new ArrayList<>();
+            Faults positions =
+                    SettingsReader.read("faults", new String(exchange.body(), StandardCharsets.UTF_8), object -> {
+                        actions.forEach((name, action) -> {
+                            if (object.flag(name, false)) {
+                                chosen.add(action);
+                            }
+                        });
+                        return SettingsJson.read(object, switches.current());
+                    });
+            switches.turn(old -> positions);
+            chosen.forEach(Runnable::run);
+            exchange.answer(200, SettingsJson.write(positions));
         } catch (SettingsException e) {
-            answerMistakes(exchange, e);
-        } catch (IOException e) {
-            exchange.answerError(400, "bad_json", "send a JSON object; " + e.getMessage());
+            answerProblems(exchange, e);
         }
     }
 
-    private void turn(JsonNode json) {
-        if (!json.isObject()) {
-            switches.turn(json);
-            return;
-        }
-        ObjectNode positions = json.deepCopy();
-        for (String name : actions.keySet()) {
-            positions.remove(name);
-        }
-        switches.turn((JsonNode) positions);
-        actions.forEach((name, action) -> {
-            if (json.path(name).asBoolean()) {
-                action.run();
-            }
-        });
-    }
-
-    private static void answerMistakes(Exchange exchange, SettingsException report) {
+    private static void answerProblems(Exchange exchange, SettingsException report) {
         ObjectNode node = JsonUtils.object().put("code", "bad_settings");
-        for (Mistake mistake : report.mistakes()) {
-            node.withArray("mistakes")
+        for (SettingsProblem problem : report.problems()) {
+            node.withArray("problems")
                     .addObject()
-                    .put("path", mistake.path())
-                    .put("found", mistake.found())
-                    .put("remedy", mistake.remedy());
+                    .put("path", problem.path())
+                    .put("found", problem.found())
+                    .put("remedy", problem.remedy());
         }
         exchange.answer(400, node);
     }
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/FaultSwitches.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultSwitches.java
@@ -1,9 +1,10 @@
 package org.coltsfootquay.standin.fault;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsReader;
 import org.coltsfootquay.standin.settings.SettingsJson;
 
 /** Fault switches of one stand-in; may be turned from any thread while the stand-in works. */
@@ -36,13 +37,13 @@
     }
 
     /**
-     * Turns the switches that a JSON object names; the others keep their position.
+     * Turns the switches that a text names; the others keep their position.
      *
-     * @param json object with fields named as in {@link Faults}
-     * @throws org.coltsfootquay.standin.settings.SettingsException with all mistakes
+     * @param json JSON object with fields named as in {@link Faults}
+     * @throws SettingsException with all mistakes; then no switch is turned
      */
-    public void turn(JsonNode json) {
-        faults.updateAndGet(old -> SettingsJson.read(json, old));
+    public void turn(String json) throws SettingsException {
+        faults.set(SettingsReader.read("faults", json, object -> SettingsJson.read(object, current())));
     }
 
     /**
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
@@ -1,6 +1,6 @@
 package org.coltsfootquay.standin.fault;
 
-import org.coltsfootquay.standin.settings.Mistakes;
+import org.coltsfootquay.standin.settings.RangeCheck;
 
 /**
  * Positions of the fault switches of a stand-in. A switch that does not concern a kind of stand-in has no effect there.
@@ -28,11 +28,9 @@
 
     /** Checks the ranges. */
     public Faults {
-        Mistakes mistakes = new Mistakes();
-        if (outage == null) {
-            mistakes.add("$.outage", "nothing", "use \"none\"");
-        }
-        mistakes.range("slowMillis", slowMillis, 0, MAX_MILLIS)
+        new RangeCheck()
+                .present("outage", outage, "write \"none\"")
+                .range("slowMillis", slowMillis, 0, MAX_MILLIS)
                 .range("lagMillis", lagMillis, 0, MAX_MILLIS)
                 .range("loseNextAnswers", loseNextAnswers, 0, Integer.MAX_VALUE)
                 .range("loseOneAnswerIn", loseOneAnswerIn, 0, Integer.MAX_VALUE)
--- a/standin/src/main/java/org/coltsfootquay/standin/platform/PlatformSettings.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/platform/PlatformSettings.java
@@ -1,6 +1,6 @@
 package org.coltsfootquay.standin.platform;
 
-import org.coltsfootquay.standin.settings.Mistakes;
+import org.coltsfootquay.standin.settings.RangeCheck;
 
 /**
  * Settings of the platform's stand-in.
@@ -15,7 +15,7 @@
 
     /** Checks the ranges. */
     public PlatformSettings {
-        new Mistakes()
+        new RangeCheck()
                 .range("vmListLagMillis", vmListLagMillis, 0, 3_600_000)
                 .range("writesPerSecond", writesPerSecond, 0, MAX_RATE)
                 .range("readsPerSecond", readsPerSecond, 0, MAX_RATE)
--- a/standin/src/main/java/org/coltsfootquay/standin/settings/SettingsJson.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/settings/SettingsJson.java
@@ -1,18 +1,16 @@
 package org.coltsfootquay.standin.settings;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.RecordComponent;
 import java.util.Arrays;
-import java.util.Iterator;
 import java.util.Locale;
-import java.util.Set;
-import java.util.stream.Collectors;
+import org.coltsfootquay.settings.SettingsObject;
+import org.coltsfootquay.settings.SettingsProblem;
 import org.coltsfootquay.standin.http.JsonUtils;
 
 /**
- * JSON form of settings records whose components are whole numbers, decimal numbers, booleans, texts or enums.
+ * JSON form of settings records whose components are whole numbers, decimal numbers, truth values or enums.
  *
  * <p>A field has the name of its component; a field that is absent keeps its default.
  */
@@ -21,34 +19,27 @@
     private SettingsJson() {}
 
     /**
-     * Reads settings.
+     * Reads settings; mistakes are recorded in the object.
      *
-     * @param json JSON object
+     * @param object object of a settings file or of a request
      * @param defaults values of the fields that are absent
      * @param <R> type of the record
-     * @return the settings
-     * @throws SettingsException with all mistakes: unknown fields, wrong types and values that the record rejects
+     * @return the settings; the defaults when the object has a mistake
      */
-    public static <R extends Record> R read(JsonNode json, R defaults) {
-        Mistakes mistakes = new Mistakes();
-        if (!json.isObject()) {
-            mistakes.add("$", json.isMissingNode() ? "nothing" : json, "write a JSON object")
-                    .throwIfAny();
-        }
+    public static <R extends Record> R read(SettingsObject object, R defaults) {
         RecordComponent[] components = defaults.getClass().getRecordComponents();
         Object[] values = new Object[components.length];
         for (int i = 0; i < components.length; i++) {
-            values[i] = value(json, components[i], valueOf(components[i], defaults), mistakes);
+            values[i] = value(object, components[i], valueOf(components[i], defaults));
         }
-        rejectUnknown(json, components, mistakes);
-        R result = null;
         try {
-            result = create(defaults, components, values);
-        } catch (SettingsException e) {
-            mistakes.addAll(e);
+            return create(defaults, components, values);
+        } catch (InvalidSettingsException e) {
+            for (SettingsProblem problem : e.problems()) {
+                object.problem(problem.path(), problem.found(), problem.remedy());
+            }
+            return defaults;
         }
-        mistakes.throwIfAny();
-        return result;
     }
 
     /**
@@ -62,7 +53,7 @@
         for (RecordComponent component : settings.getClass().getRecordComponents()) {
             Object value = valueOf(component, settings);
             if (value instanceof Enum<?> constant) {
-                node.put(component.getName(), jsonName(constant));
+                node.put(component.getName(), constant.name().toLowerCase(Locale.ROOT));
             } else {
                 node.putPOJO(component.getName(), value);
             }
@@ -70,76 +61,30 @@
         return node;
     }
 
-    private static Object value(JsonNode json, RecordComponent component, Object fallback, Mistakes mistakes) {
-        JsonNode found = json.get(component.getName());
-        if (found == null) {
-            return fallback;
-        }
+    private static Object value(SettingsObject object, RecordComponent component, Object fallback) {
+        String field = component.getName();
         Class<?> type = component.getType();
-        String path = "$." + component.getName();
-        if (type == long.class && found.canConvertToExactIntegral() && found.canConvertToLong()) {
-            return found.longValue();
-        }
-        if (type == int.class && found.canConvertToExactIntegral() && found.canConvertToInt()) {
-            return found.intValue();
-        }
-        if (type == double.class && found.isNumber()) {
-            return found.doubleValue();
-        }
-        if (type == boolean.class && found.isBoolean()) {
-            return found.booleanValue();
-        }
-        if (type == String.class && found.isTextual()) {
-            return found.textValue();
-        }
-        if (type.isEnum()) {
-            for (Object constant : type.getEnumConstants()) {
-                if (jsonName((Enum<?>) constant).equals(found.asText())) {
-                    return constant;
-                }
-            }
+        if (type == long.class) {
+            return object.number(field, Long.MIN_VALUE, Long.MAX_VALUE, (Long) fallback);
         }
-        mistakes.add(path, found, "use " + expected(type));
-        return fallback;
-    }
-
-    private static String expected(Class<?> type) {
-        if (type == long.class || type == int.class) {
-            return "a whole number";
+        if (type == int.class) {
+            return (int) object.number(field, Integer.MIN_VALUE, Integer.MAX_VALUE, (Integer) fallback);
         }
         if (type == double.class) {
-            return "a number";
+            return object.decimal(field, (Double) fallback);
         }
         if (type == boolean.class) {
-            return "true or false";
+            return object.flag(field, (Boolean) fallback);
         }
         if (type.isEnum()) {
-            return Arrays.stream(type.getEnumConstants())
-                    .map(constant -> "\"" + jsonName((Enum<?>) constant) + "\"")
-                    .collect(Collectors.joining(", ", "one of ", ""));
+            return constant(object, field, (Enum<?>) fallback);
         }
-        return "a text";
+        throw new IllegalStateException("a component of type " + type + " has no JSON form");
     }
 
-    private static String jsonName(Enum<?> constant) {
-        return constant.name().toLowerCase(Locale.ROOT);
-    }
-
-    private static void rejectUnknown(JsonNode json, RecordComponent[] components, Mistakes mistakes) {
-        Set<String> known =
-                Arrays.stream(components).map(RecordComponent::getName).collect(Collectors.toSet());
-        for (Iterator<String> names = json.fieldNames(); names.hasNext(); ) {
-            String name = names.next();
-            if (!known.contains(name)) {
-                mistakes.add(
-                        "$." + name,
-                        "an unknown field",
-                        "remove it; known fields are "
-                                + Arrays.stream(components)
-                                        .map(RecordComponent::getName)
-                                        .collect(Collectors.joining(", ")));
-            }
-        }
+    @SuppressWarnings("unchecked")
+    private static <E extends Enum<E>> E constant(SettingsObject object, String field, Enum<?> fallback) {
+        return object.constant(field, (Class<E>) fallback.getDeclaringClass(), (E) fallback);
     }
 
     private static Object valueOf(RecordComponent component, Record settings) {
@@ -158,8 +103,8 @@
             R result = (R) sample.getClass().getDeclaredConstructor(types).newInstance(values);
             return result;
         } catch (InvocationTargetException e) {
-            if (e.getCause() instanceof SettingsException mistakes) {
-                throw mistakes;
+            if (e.getCause() instanceof InvalidSettingsException invalid) {
+                throw invalid;
             }
             throw new IllegalStateException("cannot create " + sample.getClass(), e);
         } catch (ReflectiveOperationException e) {
--- a/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
@@ -108,8 +108,8 @@
         HttpResponse<String> answer = client.send("POST", "/v1/faults", "{\"outge\": 1, \"slowMillis\": -1}");
 
         assertEquals(400, answer.statusCode());
-        assertTrue(answer.body().contains("$.outge"), answer.body());
-        assertTrue(answer.body().contains("$.slowMillis"), answer.body());
+        assertTrue(answer.body().contains("outge"), answer.body());
+        assertTrue(answer.body().contains("slowMillis"), answer.body());
     }
 
     @Test
--- a/standin/src/test/java/org/coltsfootquay/standin/settings/SettingsJsonTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/settings/SettingsJsonTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsProblem;
+import org.coltsfootquay.settings.SettingsReader;
 import org.coltsfootquay.standin.application.ApplicationSettings;
 import org.coltsfootquay.standin.engine.EngineSettings;
-import org.coltsfootquay.standin.http.StandInClient;
 import org.coltsfootquay.standin.platform.PlatformSettings;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +21,7 @@
                 List.of(EngineSettings.defaults(), ApplicationSettings.defaults(), PlatformSettings.defaults())) {
             String json = SettingsJson.write(settings).toString();
 
-            assertEquals(settings, SettingsJson.read(StandInClient.parse(json), settings));
+            assertEquals(settings, SettingsReader.read("test", json, object -> SettingsJson.read(object, settings)));
         }
     }
 
@@ -28,10 +30,11 @@
         String json = "{\"knee\": 0, \"capcity\": 4, \"coldFails\": \"yes\", \"tokenIntervalMillis\": 0.5}";
 
         SettingsException report = assertThrows(
-                SettingsException.class, () -> SettingsJson.read(StandInClient.parse(json), EngineSettings.fast()));
+                SettingsException.class,
+                () -> SettingsReader.read("test", json, object -> SettingsJson.read(object, EngineSettings.fast())));
 
         assertEquals(
-                List.of("$.coldFails", "$.capcity", "$.knee", "$.tokenIntervalMillis"),
-                report.mistakes().stream().map(Mistake::path).toList());
+                List.of("coldFails", "knee", "tokenIntervalMillis", "capcity"),
+                report.problems().stream().map(SettingsProblem::path).toList());
     }
 }
