--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/DelegatingEnvironment.java
@@ -0,0 +1,58 @@
+package org.coltsfootquay.decision.request;
+
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.placement.OwnerSelector;
+import org.coltsfootquay.decision.retry.RetryPolicy;
+import org.coltsfootquay.decision.timeline.TimelineSink;
+
+/** Environment that passes all questions on, for tests that change one answer. */
+abstract class DelegatingEnvironment implements RequestEnvironment {
+
+    private final RequestEnvironment inner;
+
+    DelegatingEnvironment(RequestEnvironment inner) {
+        this.inner = inner;
+    }
+
+    @Override
+    public RouterId self() {
+        return inner.self();
+    }
+
+    @Override
+    public long incarnation() {
+        return inner.incarnation();
+    }
+
+    @Override
+    public FleetConfiguration configuration() {
+        return inner.configuration();
+    }
+
+    @Override
+    public MembershipView members() {
+        return inner.members();
+    }
+
+    @Override
+    public boolean cutOff() {
+        return inner.cutOff();
+    }
+
+    @Override
+    public OwnerSelector owners() {
+        return inner.owners();
+    }
+
+    @Override
+    public RetryPolicy retries() {
+        return inner.retries();
+    }
+
+    @Override
+    public TimelineSink timeline() {
+        return inner.timeline();
+    }
+}
--- a/decision/src/test/java/org/coltsfootquay/decision/request/MutantFlows.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/MutantFlows.java
@@ -4,15 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.decision.common.RequestAttempt;
-import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.configuration.ClassOfWork;
-import org.coltsfootquay.decision.configuration.FleetConfiguration;
-import org.coltsfootquay.decision.membership.MembershipView;
-import org.coltsfootquay.decision.placement.OwnerSelector;
-import org.coltsfootquay.decision.retry.RetryPolicy;
 import org.coltsfootquay.decision.store.WriteOutcome;
 import org.coltsfootquay.decision.store.WriteResult;
-import org.coltsfootquay.decision.timeline.TimelineSink;
 
 /** Test copies of the request flow with one deliberate fault each. */
 enum MutantFlows {
@@ -141,46 +135,10 @@
     }
 
     /** Environment without observer: the checks see what the faulty copy does. */
-    private record Unobserved(RequestEnvironment inner) implements RequestEnvironment {
+    private static final class Unobserved extends DelegatingEnvironment {
 
-        @Override
-        public RouterId self() {
-            return inner.self();
-        }
-
-        @Override
-        public long incarnation() {
-            return inner.incarnation();
-        }
-
-        @Override
-        public FleetConfiguration configuration() {
-            return inner.configuration();
-        }
-
-        @Override
-        public MembershipView members() {
-            return inner.members();
-        }
-
-        @Override
-        public boolean cutOff() {
-            return inner.cutOff();
-        }
-
-        @Override
-        public OwnerSelector owners() {
-            return inner.owners();
-        }
-
-        @Override
-        public RetryPolicy retries() {
-            return inner.retries();
-        }
-
-        @Override
-        public TimelineSink timeline() {
-            return inner.timeline();
+        Unobserved(RequestEnvironment inner) {
+            super(inner);
         }
 
         @Override
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RetryStormTest.java
@@ -0,0 +1,124 @@
+package org.coltsfootquay.decision.request;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.request.RequestWorld.Kind;
+import org.coltsfootquay.decision.retry.RetryBudget;
+import org.coltsfootquay.decision.retry.RetryPolicy;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against retries that multiply the load while half of the servers, or all of them, fail. */
+final class RetryStormTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final int SERVERS = 8;
+    private static final int REQUESTS_PER_SECOND = 200;
+    private static final int SECONDS = 20;
+
+    @ParameterizedTest
+    @CsvSource({"0.5", "1.0"})
+    void retriesStayWithinTheBudget(double failingPart) {
+        long sends = sends(new RetryBudget(5), failingPart);
+        long unlimited = sends(new Unlimited(), failingPart);
+        long requests = (long) REQUESTS_PER_SECOND * SECONDS;
+        System.out.println("failing part " + failingPart + ": " + requests + " requests, " + sends + " sends; without a"
+                + " budget " + unlimited);
+        assertTrue(sends <= 1.1 * requests + SECONDS + 1, "sends: " + sends + " for " + requests + " requests");
+        assertTrue(unlimited > 1.3 * requests, "the run without a budget shows no storm: " + unlimited);
+    }
+
+    private static long sends(RetryPolicy policy, double failingPart) {
+        RequestWorld world = new RequestWorld(Kind.APPLICATION_READ, FlowPort.Factory.real(), 1);
+        RequestEnvironment environment = new WithRetries(world.first, policy);
+        FakeCaller template = world.call(world.second);
+        Random random = new Random(9);
+        long sends = 0;
+        PriorityQueue<Due> due = new PriorityQueue<>();
+        for (int i = 0; i < REQUESTS_PER_SECOND * SECONDS; i++) {
+            RequestFlow flow = new RequestFlow(template.request, environment);
+            due.add(new Due(i * SECOND / REQUESTS_PER_SECOND, i, flow, new RequestEvent.Admitted()));
+        }
+        while (!due.isEmpty()) {
+            Due next = due.poll();
+            for (RequestAction action : next.flow.handle(next.event, next.at)) {
+                if (action instanceof RequestAction.EnqueueAtOwner enqueue) {
+                    // Owners know nothing about failures and grant any of the servers.
+                    ServerName server = new ServerName("s" + (1 + random.nextInt(3)));
+                    due.add(next.then(granted(enqueue.attempt(), enqueue.owner(), server)));
+                } else if (action instanceof RequestAction.OpenOnServer open) {
+                    sends++;
+                    boolean fails = random.nextInt(SERVERS) < failingPart * SERVERS;
+                    due.add(next.then(
+                            fails
+                                    ? new RequestEvent.ConnectFailed(open.attempt())
+                                    : new RequestEvent.SendStarted(open.attempt())));
+                } else if (action instanceof RequestAction.ScheduleTimer timer) {
+                    due.add(new Due(timer.atNanos(), next.order, next.flow, new RequestEvent.TimePassed()));
+                } else if (action instanceof RequestAction.ReportStarted started) {
+                    due.add(next.then(new RequestEvent.HeadReceived(started.attempt(), 200, java.util.Map.of())));
+                    due.add(next.then(new RequestEvent.AnswerEnded(started.attempt(), 0, "")));
+                }
+            }
+        }
+        return sends;
+    }
+
+    private static RequestEvent granted(RequestAttempt attempt, RouterId owner, ServerName server) {
+        return new RequestEvent.OwnerGranted(
+                owner, attempt, server, "127.0.0.1:1", 1, Duration.ofMillis(500), Duration.ZERO);
+    }
+
+    private record Due(long at, int order, RequestFlow flow, RequestEvent event) implements Comparable<Due> {
+
+        Due then(RequestEvent next) {
+            return new Due(at + 1_000_000, order, flow, next);
+        }
+
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Integer.compare(order, other.order);
+        }
+    }
+
+    /** Policy without a budget, the baseline. */
+    private static final class Unlimited implements RetryPolicy {
+
+        @Override
+        public void requestArrived(ServiceName service, long nowNanos) {}
+
+        @Override
+        public long tryRetry(ServiceName service, int retry, long deadlineNanos, long nowNanos) {
+            return 50_000_000L;
+        }
+    }
+
+    /** Environment of the test world with other retries. */
+    private static final class WithRetries extends DelegatingEnvironment {
+
+        private final RetryPolicy policy;
+
+        WithRetries(RequestEnvironment inner, RetryPolicy policy) {
+            super(inner);
+            this.policy = policy;
+        }
+
+        @Override
+        public RetryPolicy retries() {
+            return policy;
+        }
+
+        @Override
+        public RequestObserver observer() {
+            return RequestObserver.NONE;
+        }
+    }
+}
