--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -0,0 +1,96 @@
+package org.coltsfootquay.decision.ownership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.membership.Member;
+import org.coltsfootquay.decision.membership.MemberRow;
+import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.membership.RegionStoreReport;
+import org.coltsfootquay.decision.ownership.ServerRow.LapsedHolder;
+import org.coltsfootquay.decision.store.StoreContact;
+import org.coltsfootquay.decision.store.StoreWatcher;
+
+/**
+ * Division of a server's limit between a holder whose lease lapsed and a claimant.
+ *
+ * <p>Shares are halved only, so their sums are exact in binary floating point.
+ */
+final class ShareRule {
+
+    private final Blackboard blackboard;
+    private final StoreWatcher watcher;
+    private final RegionName region;
+    private final Duration reportAge;
+
+    ShareRule(Blackboard blackboard, StoreWatcher watcher, RegionName region, Duration reportAge) {
+        this.watcher = watcher;
+        this.blackboard = blackboard;
+        this.region = region;
+        this.reportAge = reportAge;
+    }
+
+    /** Returns the share that a holder keeps when its lease lapses. */
+    static double lapsedShare(double share) {
+        return share / 2;
+    }
+
+    /** Returns the share that this router may use now of a server whose row gives it {@code share}. */
+    double usable(double share, boolean leaseConfirmed, long expiryNanos, long now) {
+        return leaseConfirmed || outageConfirmed(expiryNanos, now) ? share : lapsedShare(share);
+    }
+
+    /**
+     * Tells whether nobody has claimed since this router's lease expired and nobody can claim now: no router of the
+     * region reaches the store, and none had settled contact after the expiry.
+     */
+    boolean outageConfirmed(long expiryNanos, long now) {
+        if (blackboard.read(StoreContact.TOPIC).reachable()) {
+            return false;
+        }
+        int known = knownRouters();
+        RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
+        boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
+        boolean all = report.routersWithoutStore() >= known && report.routersWithoutStore() >= report.routers();
+        return known <= 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
+    }
+
+    private int knownRouters() {
+        int members = blackboard.read(MembershipView.TOPIC).ranked(region).size();
+        long expired = watcher.rows(MemberRow.PREFIX).stream()
+                .filter(row ->
+                        row.expired() && MemberRow.of(row).member().region().equals(region))
+                .count();
+        return members + (int) expired;
+    }
+
+    /** Returns until when {@link #usable} gives the same answer for a lapsed lease as it gives now. */
+    long reducedAfterNanos(long expiryNanos, long now) {
+        return outageConfirmed(expiryNanos, now) && knownRouters() > 1
+                ? blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos()
+                : Long.MAX_VALUE;
+    }
+
+    /** Returns the lapsed holders that no newer incarnation has replaced. */
+    static List<LapsedHolder> known(List<LapsedHolder> lapsed, MembershipView view) {
+        return lapsed.stream().filter(entry -> !replaced(entry, view)).toList();
+    }
+
+    /** Tells whether a lapsed holder surely no longer uses its share. */
+    static boolean released(LapsedHolder entry, long claimRevision, MembershipView view, StoreWatcher watcher) {
+        Optional<MemberRow> row = watcher.row(MemberRow.key(entry.router()))
+                .filter(found -> !found.expired())
+                .map(MemberRow::of);
+        boolean released = row.filter(found -> found.member().incarnation() == entry.incarnation()
+                        && found.releasedRevision() >= claimRevision)
+                .isPresent();
+        return released || replaced(entry, view);
+    }
+
+    private static boolean replaced(LapsedHolder entry, MembershipView view) {
+        Member member = view.members().get(entry.router());
+        return member != null && member.incarnation() > entry.incarnation();
+    }
+}
