--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
@@ -28,6 +28,7 @@
 import org.coltsfootquay.decision.shutdown.ShutdownController;
 import org.coltsfootquay.decision.shutdown.ShutdownSettings;
 import org.coltsfootquay.decision.store.StoreContact;
+import org.coltsfootquay.decision.store.VmEntry;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 
 /** Router of the simulated fleet: the real controllers of one process, which can be paused and restarted. */
@@ -96,10 +97,12 @@
         shutdown = new ShutdownController(
                 control, () -> 0, timer, blackboard, fleet.timelineOf(id), ShutdownSettings.standard());
         control.start();
+        fleet.vmChanged(this, VmEntry.State.RUNNING);
     }
 
     /** Ends the process at once. */
     public void crash() {
+        fleet.vmChanged(this, VmEntry.State.GONE);
         running = false;
         process++;
     }
