--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -0,0 +1,672 @@
+package org.coltsfootquay.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.configuration.ClassOfWork;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.configuration.ServiceKind;
+import org.coltsfootquay.decision.configuration.Workspace;
+import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.fairness.UsageIncrement;
+import org.coltsfootquay.decision.limit.LimitSettings;
+import org.coltsfootquay.decision.limit.ServerLimit;
+import org.coltsfootquay.decision.ownership.OwnedServer;
+
+/**
+ * Queue of one service at an owner.
+ *
+ * <p>A request moves from the queue of its workspace to a flight on a server, and the flight ends when the entry router
+ * reports the end, takes the grant back, or stays silent for too long. Each decision takes time logarithmic in the
+ * numbers of waiting requests, workspaces and servers; only new totals, a new configuration and a new list of servers
+ * take linear time.
+ */
+public final class ServiceDispatcher implements Dispatcher {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** Heads whose excluded servers are the only free ones are set aside; more than this many end the search. */
+    private static final int LARGEST_SET_ASIDE = 8;
+
+    /** Time for which a grant that was taken back is remembered, in case its send started in time after all. */
+    private static final long LAPSED_MEMORY_NANOS = 10_000 * NANOS_PER_MILLI;
+
+    /** Time for which requests on a server that went to another owner are remembered. */
+    private static final long HANDED_OVER_MEMORY_NANOS = 600_000 * NANOS_PER_MILLI;
+
+    /** Limits change at most once a second, so they are looked at less often than the queue. */
+    private static final long LIMIT_TICK_NANOS = 250 * NANOS_PER_MILLI;
+
+    private static final double MEAN_WEIGHT = 0.05;
+    private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
+
+    private final ServiceName service;
+    private final RouterId self;
+    private final OrderPolicy policy;
+    private final PreemptionPlanner preemption;
+    private final DispatchSettings settings;
+    private final LimitSettings limitSettings;
+
+    private final ServerPool pool = new ServerPool();
+    private final Map<WorkspaceId, WorkspaceQueue> queues = new HashMap<>();
+    private final WaitingIndex waiting = new WaitingIndex();
+    private final FlightIndex flights = new FlightIndex();
+    private final Set<WorkspaceQueue> undrained = new LinkedHashSet<>();
+    private final RedirectTargets redirectTargets = new RedirectTargets();
+    private FleetConfiguration configuration = FleetConfiguration.none();
+    private double meanServerSeconds;
+    private double meanFirstTokenMillis;
+    private long nextSequence;
+    private long limitTickNanos;
+    private boolean stopping;
+
+    /**
+     * Creates a dispatcher with the figures of the design page.
+     *
+     * @param service service
+     * @param self this router
+     * @param policy order policy
+     */
+    public ServiceDispatcher(ServiceName service, RouterId self, PolicyName policy) {
+        this(service, self, policy, DispatchSettings.standard(), LimitSettings.standard());
+    }
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param service service
+     * @param self this router
+     * @param policy order policy
+     * @param settings figures of the queue
+     * @param limitSettings figures of the concurrency limits
+     */
+    public ServiceDispatcher(
+            ServiceName service,
+            RouterId self,
+            PolicyName policy,
+            DispatchSettings settings,
+            LimitSettings limitSettings) {
+        this.service = ArgumentUtils.requireValue(service, "service");
+        this.self = ArgumentUtils.requireValue(self, "self");
+        this.settings = ArgumentUtils.requireValue(settings, "settings");
+        this.limitSettings = ArgumentUtils.requireValue(limitSettings, "limit settings");
+        this.policy = create(ArgumentUtils.requireValue(policy, "policy"));
+        this.preemption = new PreemptionPlanner(this.policy);
+    }
+
+    @Override
+    public List<DispatchAction> handle(DispatchEvent event, long nowNanos) {
+        List<DispatchAction> actions = new ArrayList<>();
+        if (event instanceof DispatchEvent.Submitted submitted) {
+            submit(submitted.request(), nowNanos, actions);
+        } else if (event instanceof DispatchEvent.Withdrawn withdrawn) {
+            withdraw(withdrawn.attempt(), nowNanos);
+        } else if (event instanceof DispatchEvent.SendStarted started) {
+            sendStarted(started.attempt(), nowNanos);
+        } else if (event instanceof DispatchEvent.Progressed progressed) {
+            progress(progressed, nowNanos);
+        } else if (event instanceof DispatchEvent.Ended ended) {
+            end(ended.attempt(), ended.report(), nowNanos);
+        } else if (event instanceof DispatchEvent.EntryLost lost) {
+            entryLost(lost.entry(), nowNanos);
+        } else if (event instanceof DispatchEvent.ServersChanged changed) {
+            serversChanged(changed.servers(), nowNanos, actions);
+        } else if (event instanceof DispatchEvent.ConfigurationChanged changed) {
+            configurationChanged(changed.configuration(), nowNanos);
+        } else if (event instanceof DispatchEvent.LoadReported reported) {
+            loadReported(reported.server(), reported.report(), nowNanos);
+        } else if (event instanceof DispatchEvent.InFlightReported reported) {
+            inFlightReported(reported.server(), reported.requests(), nowNanos);
+        } else if (event instanceof DispatchEvent.HandedOver handedOver) {
+            handedOver(handedOver.state(), nowNanos);
+        } else if (event instanceof DispatchEvent.TotalsChanged changed) {
+            totalsChanged(changed.totals(), nowNanos);
+        } else if (event instanceof DispatchEvent.IdleOwnerFound idle) {
+            redirect(idle.router(), idle.freeSlots(), nowNanos, actions);
+        } else if (event instanceof DispatchEvent.StopBegun) {
+            stopping = true;
+            emptyQueue(RefusalCode.STOPPING, nowNanos, actions);
+        } else {
+            tick(nowNanos, actions);
+        }
+        grantAll(nowNanos, actions);
+        preempt(nowNanos, actions);
+        return actions;
+    }
+
+    @Override
+    public List<UsageIncrement> drainUsage() {
+        List<UsageIncrement> increments = new ArrayList<>(undrained.size());
+        for (Iterator<WorkspaceQueue> iterator = undrained.iterator(); iterator.hasNext(); ) {
+            WorkspaceQueue queue = iterator.next();
+            boolean backlogged = queue.waitedSinceDrain || !queue.isEmpty();
+            increments.add(new UsageIncrement(queue.workspace, service, queue.undrainedUnits, backlogged));
+            queue.undrainedUnits = 0;
+            queue.waitedSinceDrain = false;
+            if (queue.isEmpty()) {
+                iterator.remove();
+            }
+        }
+        return increments;
+    }
+
+    @Override
+    public ServiceTotals.OwnerLoad load(long nowNanos) {
+        WaitingRequest oldest = waiting.oldest();
+        long wait = oldest == null ? 0 : (nowNanos - oldest.arrivedNanos) / NANOS_PER_MILLI;
+        return new ServiceTotals.OwnerLoad(self, stopping ? 0 : pool.freeSlots(), waiting.size(), wait);
+    }
+
+    /**
+     * Returns the state of the owned servers.
+     *
+     * @return states, in the order in which the servers became owned
+     */
+    public List<ServerState> servers() {
+        return pool.all().stream().map(ServerSlots::state).toList();
+    }
+
+    /**
+     * Returns what the next owner of a server needs to know.
+     *
+     * @param server server
+     * @return state, or empty when the server is not owned
+     */
+    public Optional<HandoverState> handover(ServerName server) {
+        return Optional.ofNullable(pool.get(server)).map(slots -> {
+            List<InFlightEntry> requests = flights.on(slots).stream()
+                    .filter(Flight::holdsSlot)
+                    .map(flight -> new InFlightEntry(
+                            flight.attempt,
+                            flight.entry,
+                            flight.queue.workspace,
+                            flight.classOfWork,
+                            flight.chargedUnits))
+                    .toList();
+            boolean cold = slots.limit.ramping();
+            double limit = cold ? Math.max(1, slots.limit.formerLimit()) : slots.limit.limit();
+            return new HandoverState(server, limit, cold, requests);
+        });
+    }
+
+    private static OrderPolicy create(PolicyName name) {
+        return switch (name) {
+            case FLEET -> new FairOrder(true);
+            case PER_ROUTER -> new FairOrder(false);
+            case FIFO -> new FifoOrder();
+        };
+    }
+
+    private void submit(QueuedRequest request, long now, List<DispatchAction> actions) {
+        if (answeredAsDuplicate(request, now, actions)) {
+            return;
+        }
+        WorkspaceQueue queue = queue(request.workspace());
+        Duration wait = estimatedWait(queue, now);
+        if (stopping) {
+            refuseOrRedirect(request, RefusalCode.STOPPING, actions);
+        } else if (!pool.canServe(request.excludedServers())) {
+            refuse(request, RefusalCode.NOT_OWNER, Duration.ZERO, actions);
+        } else if (!request.resumed() && queue.size() >= queueBound(queue, now)) {
+            refuse(request, RefusalCode.WORKSPACE_QUEUE_FULL, wait, actions);
+        } else if (!request.resumed() && now + wait.toNanos() > request.patienceEndNanos()) {
+            long excess = now + wait.toNanos() - request.patienceEndNanos();
+            refuse(request, RefusalCode.PATIENCE_EXCEEDED, Duration.ofNanos(excess), actions);
+        } else {
+            WaitingRequest entry = enqueue(request, queue, now);
+            grantAll(now, actions);
+            if (waiting.get(request.attempt().request()) == entry) {
+                queue.waitedSinceDrain = true;
+                actions.add(new DispatchAction.Queued(request.entry(), request.attempt(), wait));
+            }
+        }
+    }
+
+    /** Answers a repeated submission like the first one, and ignores one that belongs to a superseded attempt. */
+    private boolean answeredAsDuplicate(QueuedRequest request, long now, List<DispatchAction> actions) {
+        RequestAttempt attempt = request.attempt();
+        WaitingRequest present = waiting.get(attempt.request());
+        if (present != null) {
+            int known = present.request.attempt().attempt();
+            if (known == attempt.attempt()) {
+                actions.add(new DispatchAction.Queued(request.entry(), attempt, estimatedWait(present.queue, now)));
+            }
+            if (known >= attempt.attempt()) {
+                return true;
+            }
+            dequeue(present, now);
+        }
+        Flight flight = flights.get(attempt);
+        if (flight == null) {
+            return false;
+        }
+        long left = flight.grantedNanos + settings.startWithin().toNanos() - now;
+        if (flight.stage == Flight.Stage.GRANTED && left > 0) {
+            actions.add(new DispatchAction.Granted(
+                    request.entry(),
+                    attempt,
+                    flight.server.server,
+                    Duration.ofNanos(left),
+                    estimatedWait(flight.queue, now)));
+        }
+        return flight.stage != Flight.Stage.LAPSED;
+    }
+
+    private WaitingRequest enqueue(QueuedRequest request, WorkspaceQueue queue, long now) {
+        WaitingRequest entry = new WaitingRequest(request, queue, nextSequence++, now);
+        waiting.add(entry);
+        queue.add(entry);
+        undrained.add(queue);
+        policy.queueChanged(queue, now);
+        return entry;
+    }
+
+    private void dequeue(WaitingRequest entry, long now) {
+        waiting.remove(entry);
+        entry.queue.remove(entry);
+        policy.queueChanged(entry.queue, now);
+    }
+
+    private void grantAll(long now, List<DispatchAction> actions) {
+        List<WaitingRequest> setAside = new ArrayList<>();
+        while (pool.freeSlots() > 0 && setAside.size() < LARGEST_SET_ASIDE) {
+            WorkspaceQueue queue = policy.next(now);
+            if (queue == null) {
+                break;
+            }
+            WaitingRequest head = queue.head();
+            ServerSlots server = pool.leastLoaded(head.request.excludedServers());
+            if (server == null) {
+                queue.remove(head);
+                policy.queueChanged(queue, now);
+                setAside.add(head);
+            } else {
+                grant(head, server, now, actions);
+            }
+        }
+        for (WaitingRequest entry : setAside) {
+            entry.queue.add(entry);
+            policy.queueChanged(entry.queue, now);
+        }
+    }
+
+    private void grant(WaitingRequest entry, ServerSlots server, long now, List<DispatchAction> actions) {
+        QueuedRequest request = entry.request;
+        dequeue(entry, now);
+        ClassOfWork work = configuration.classes().get(request.classOfWork());
+        boolean preemptible = server.server.kind() == ServiceKind.MODEL && (work == null || work.idempotent());
+        Flight flight = new Flight(request, entry.queue, server, preemptible, now);
+        flights.add(flight);
+        occupy(flight, 1);
+        enterStage(flight, Flight.Stage.GRANTED, now);
+        entry.queue.grantRate.add(1, now);
+        policy.granted(entry.queue, flight.estimatedUnits, now);
+        addCharge(flight, flight.estimatedUnits);
+        actions.add(new DispatchAction.Granted(
+                request.entry(),
+                request.attempt(),
+                server.server,
+                settings.startWithin(),
+                estimatedWait(entry.queue, now)));
+    }
+
+    private void preempt(long now, List<DispatchAction> actions) {
+        if (pool.freeSlots() > 0 || stopping) {
+            return;
+        }
+        double perSecond = meanServerSeconds == 0 ? 0 : pool.capacity() / meanServerSeconds;
+        for (Flight victim : preemption.plan(perSecond, (long) (2 * meanFirstTokenMillis * NANOS_PER_MILLI), now)) {
+            enterStage(victim, Flight.Stage.PREEMPTED, now);
+            actions.add(new DispatchAction.Preempted(victim.entry, victim.attempt));
+        }
+    }
+
+    private void occupy(Flight flight, int change) {
+        if (change > 0) {
+            flight.queue.flights.add(flight);
+        } else {
+            flight.queue.flights.remove(flight);
+            flight.server.orphans.remove(flight);
+        }
+        ServerSlots server = flight.server;
+        server.inFlight += change;
+        server.limit.occupied(server.inFlight, server.freeSlots() == 0);
+        pool.update(server);
+    }
+
+    private void enterStage(Flight flight, Flight.Stage stage, long now) {
+        flight.stage = stage;
+        flight.stageNanos = now;
+        long duration = switch (stage) {
+            case GRANTED -> settings.startWithin().plus(settings.startMargin()).toNanos();
+            case LAPSED -> LAPSED_MEMORY_NANOS;
+            case HANDED_OVER -> HANDED_OVER_MEMORY_NANOS;
+            case ORPHANED, PREEMPTED -> settings.orphanTimeout().toNanos();
+            case STARTED -> 0;
+        };
+        if (duration > 0) {
+            flights.endStageAt(flight, now + duration);
+        }
+    }
+
+    private void withdraw(RequestAttempt attempt, long now) {
+        WaitingRequest entry = waiting.get(attempt.request());
+        if (entry != null && entry.request.attempt().equals(attempt)) {
+            dequeue(entry, now);
+            return;
+        }
+        Flight flight = flights.get(attempt);
+        if (flight != null) {
+            release(flight, 0, now);
+        }
+    }
+
+    private void sendStarted(RequestAttempt attempt, long now) {
+        Flight flight = flights.get(attempt);
+        if (flight != null) {
+            markRunning(flight, now);
+        }
+    }
+
+    /** A grant that was taken back holds a slot again when its send turns out to have started. */
+    private void markRunning(Flight flight, long now) {
+        if (flight.stage == Flight.Stage.LAPSED) {
+            occupy(flight, 1);
+            policy.corrected(flight.queue, flight.estimatedUnits, now);
+            addCharge(flight, flight.estimatedUnits);
+        }
+        if (flight.stage == Flight.Stage.GRANTED || flight.stage == Flight.Stage.LAPSED) {
+            enterStage(flight, Flight.Stage.STARTED, now);
+        }
+    }
+
+    private void progress(DispatchEvent.Progressed progressed, long now) {
+        Flight flight = flights.get(progressed.attempt());
+        if (flight == null) {
+            return;
+        }
+        markRunning(flight, now);
+        flight.producedUnits += progressed.units();
+        long beyondEstimate = flight.producedUnits - flight.freeUnits - flight.chargedUnits;
+        if (beyondEstimate > 0) {
+            settle(flight, beyondEstimate, now);
+        }
+        flight.server.limit.tokenInterval(progressed.worstTokenIntervalMillis(), tokenTarget(flight), now);
+        pool.update(flight.server);
+    }
+
+    private void end(RequestAttempt attempt, EndReport report, long now) {
+        Flight flight = flights.get(attempt);
+        if (flight == null) {
+            return;
+        }
+        markRunning(flight, now);
+        ServerLimit limit = flight.server.limit;
+        switch (report.outcome()) {
+            case COMPLETED -> {
+                meanServerSeconds = mean(meanServerSeconds, report.serverMillis() / 1e3);
+                meanFirstTokenMillis = mean(meanFirstTokenMillis, report.firstTokenMillis());
+                limit.completed(flight.classOfWork, report.serverMillis(), now);
+            }
+            case FAILED, BROKEN -> limit.failed(now);
+            case COLD -> limit.foundCold(OptionalInt.empty(), now);
+            default -> limit.tick(now);
+        }
+        release(flight, Math.max(0, report.totalUnits() - flight.freeUnits), now);
+    }
+
+    /** Ends a flight, settles its service and frees its slot. */
+    private void release(Flight flight, long totalUnits, long now) {
+        flights.remove(flight);
+        settle(flight, totalUnits - flight.chargedUnits, now);
+        if (flight.holdsSlot()) {
+            occupy(flight, -1);
+        }
+    }
+
+    private void settle(Flight flight, long units, long now) {
+        if (units != 0) {
+            policy.corrected(flight.queue, units, now);
+            addCharge(flight, units);
+        }
+    }
+
+    private void addCharge(Flight flight, long units) {
+        flight.chargedUnits += units;
+        flight.queue.undrainedUnits += units;
+        undrained.add(flight.queue);
+    }
+
+    private void entryLost(RouterId entry, long now) {
+        waiting.of(entry).forEach(lost -> dequeue(lost, now));
+        for (Flight flight : flights.of(entry)) {
+            if (flight.holdsSlot()) {
+                enterStage(flight, Flight.Stage.ORPHANED, now);
+                flight.server.orphans.add(flight);
+            }
+        }
+    }
+
+    private void serversChanged(List<OwnedServer> servers, long now, List<DispatchAction> actions) {
+        Map<ServerName, OwnedServer> owned = new LinkedHashMap<>();
+        servers.stream()
+                .filter(server -> server.service().equals(service))
+                .forEach(server -> owned.put(server.name(), server));
+        for (ServerSlots slots : List.copyOf(pool.all())) {
+            if (!owned.containsKey(slots.server.name())) {
+                pool.remove(slots);
+                handFlightsOver(slots, now);
+            }
+        }
+        for (OwnedServer server : owned.values()) {
+            ServerSlots slots = pool.get(server.name());
+            if (slots == null) {
+                pool.add(new ServerSlots(server, new ServerLimit(limitSettings, server.kind(), now)));
+            } else {
+                if (server.fresh() && server.fencingNumber() != slots.server.fencingNumber()) {
+                    slots.limit.foundCold(OptionalInt.empty(), now);
+                }
+                if (server.admitting() && !slots.server.admitting()) {
+                    slots.limit.returned(now);
+                }
+                slots.server = server;
+                pool.update(slots);
+            }
+        }
+        if (pool.admitting() == 0) {
+            emptyQueue(RefusalCode.NOT_OWNER, now, actions);
+        }
+    }
+
+    private void handFlightsOver(ServerSlots slots, long now) {
+        for (Flight flight : flights.on(slots)) {
+            if (flight.holdsSlot()) {
+                occupy(flight, -1);
+                enterStage(flight, Flight.Stage.HANDED_OVER, now);
+            }
+        }
+    }
+
+    private void configurationChanged(FleetConfiguration changed, long now) {
+        if (changed.version() < configuration.version()) {
+            return;
+        }
+        configuration = changed;
+        for (WorkspaceQueue queue : queues.values()) {
+            queue.reservedPerSecond = reserved(queue.workspace);
+            policy.queueChanged(queue, now);
+        }
+        for (ServerSlots slots : pool.all()) {
+            pool.update(slots);
+        }
+    }
+
+    private void loadReported(ServerName name, LoadReport report, long now) {
+        ServerSlots slots = pool.get(name);
+        if (slots == null) {
+            return;
+        }
+        slots.limit.loadReported(
+                report.running(), report.waiting(), report.cold(), report.bearable(), report.uptimeMillis(), now);
+        pool.update(slots);
+        int notRunning = slots.inFlight - report.running() - report.waiting();
+        long measuredNanos = now - report.ageMillis() * NANOS_PER_MILLI;
+        for (Flight orphan : List.copyOf(slots.orphans)) {
+            if (notRunning > 0 && orphan.stageNanos < measuredNanos) {
+                release(orphan, orphan.producedUnits, now);
+                notRunning--;
+            }
+        }
+    }
+
+    private void inFlightReported(ServerName name, List<InFlightEntry> requests, long now) {
+        ServerSlots slots = pool.get(name);
+        if (slots == null) {
+            return;
+        }
+        for (InFlightEntry entry : requests) {
+            Flight known = flights.get(entry.attempt());
+            if (known == null || known.stage == Flight.Stage.HANDED_OVER) {
+                Flight flight = new Flight(entry, queue(entry.workspace()), slots, now);
+                flights.add(flight);
+                occupy(flight, 1);
+            }
+        }
+    }
+
+    private void handedOver(HandoverState state, long now) {
+        ServerSlots slots = pool.get(state.server());
+        if (slots != null) {
+            slots.limit.restore(state.limit(), state.cold());
+            pool.update(slots);
+            inFlightReported(state.server(), state.requests(), now);
+        }
+    }
+
+    private void totalsChanged(ServiceTotals totals, long now) {
+        redirectTargets.replace(totals.loads().getOrDefault(service, List.of()), self);
+        ServiceTotals.Totals own = totals.byService().get(service);
+        if (own != null) {
+            policy.totalsChanged(own, now);
+        }
+    }
+
+    private void redirect(RouterId owner, int freeSlots, long now, List<DispatchAction> actions) {
+        for (int i = 0; i < freeSlots && pool.freeSlots() == 0; i++) {
+            WorkspaceQueue queue = policy.next(now);
+            if (queue == null) {
+                return;
+            }
+            WaitingRequest head = queue.head();
+            dequeue(head, now);
+            policy.redirected(queue, head.request.estimatedUnits(), now);
+            actions.add(new DispatchAction.Redirected(head.request.entry(), head.request.attempt(), owner));
+        }
+    }
+
+    private void emptyQueue(RefusalCode code, long now, List<DispatchAction> actions) {
+        for (WaitingRequest entry : waiting.all()) {
+            dequeue(entry, now);
+            refuseOrRedirect(entry.request, code, actions);
+        }
+    }
+
+    private void refuseOrRedirect(QueuedRequest request, RefusalCode code, List<DispatchAction> actions) {
+        Optional<RouterId> other = redirectTargets.take();
+        if (other.isPresent()) {
+            actions.add(new DispatchAction.Redirected(request.entry(), request.attempt(), other.get()));
+        } else {
+            refuse(request, code, Duration.ZERO, actions);
+        }
+    }
+
+    private void refuse(QueuedRequest request, RefusalCode code, Duration after, List<DispatchAction> actions) {
+        Duration retryAfter = after.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : after;
+        actions.add(new DispatchAction.Refused(request.entry(), request.attempt(), code, retryAfter));
+    }
+
+    private void tick(long now, List<DispatchAction> actions) {
+        for (WaitingRequest entry = waiting.expired(now); entry != null; entry = waiting.expired(now)) {
+            dequeue(entry, now);
+            refuse(entry.request, RefusalCode.PATIENCE_EXCEEDED, estimatedWait(entry.queue, now), actions);
+        }
+        if (now - limitTickNanos >= LIMIT_TICK_NANOS) {
+            limitTickNanos = now;
+            for (ServerSlots slots : pool.all()) {
+                slots.limit.tick(now);
+                pool.update(slots);
+            }
+        }
+        for (Flight ended = flights.ended(now); ended != null; ended = flights.ended(now)) {
+            endStage(ended, now);
+        }
+    }
+
+    private void endStage(Flight flight, long now) {
+        switch (flight.stage) {
+            case GRANTED -> {
+                settle(flight, -flight.chargedUnits, now);
+                occupy(flight, -1);
+                enterStage(flight, Flight.Stage.LAPSED, now);
+            }
+            case LAPSED, HANDED_OVER -> flights.remove(flight);
+            default -> release(flight, Math.max(0, flight.producedUnits - flight.freeUnits), now);
+        }
+    }
+
+    private int queueBound(WorkspaceQueue queue, long now) {
+        double byRate = queue.grantRate.perSecond(now) * settings.queueSeconds();
+        return (int) Math.min(settings.largestQueue(), Math.max(settings.smallestQueue(), byRate));
+    }
+
+    /** Little's law: the owner starts as many requests per second as its slots divided by the mean time in one. */
+    private Duration estimatedWait(WorkspaceQueue queue, long now) {
+        if (pool.freeSlots() > 0 || meanServerSeconds == 0) {
+            return Duration.ZERO;
+        }
+        double perSecond = Math.max(1, pool.capacity()) / meanServerSeconds;
+        return Duration.ofMillis((long) (1_000 * policy.grantsAhead(queue, now) / perSecond));
+    }
+
+    private int tokenTarget(Flight flight) {
+        ClassOfWork work = configuration.classes().get(flight.classOfWork);
+        return work == null
+                ? 0
+                : (int) work.target()
+                        .betweenTokens()
+                        .map(Duration::toMillis)
+                        .orElse(0L)
+                        .longValue();
+    }
+
+    private WorkspaceQueue queue(WorkspaceId workspace) {
+        return queues.computeIfAbsent(workspace, id -> {
+            WorkspaceQueue queue = new WorkspaceQueue(id, policy.withinWorkspace());
+            queue.reservedPerSecond = reserved(id);
+            return queue;
+        });
+    }
+
+    private long reserved(WorkspaceId id) {
+        Workspace workspace = configuration.workspaces().get(id);
+        return workspace == null ? 0 : workspace.reserved(service);
+    }
+
+    private static double mean(double former, double sample) {
+        return former == 0 ? sample : former + MEAN_WEIGHT * (sample - former);
+    }
+}
