--- a/decision/src/main/java/org/coltsfootquay/decision/invariant/Guarantee.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/Guarantee.java
@@ -1,14 +1,14 @@
 package org.coltsfootquay.decision.invariant;
 
-/** Guarantees of the design page that are checked while the program runs. */
+/** Guarantees of the design, numbered as in its section 1.1. */
 public enum Guarantee {
-    /** The difference in service of two backlogged workspaces stays within the bound. */
+    /** Bounded difference of service between backlogged workspaces. */
     G1,
     /** No workspace starves. */
     G2,
-    /** No server is given more work than it can handle. */
+    /** A backend server receives no more work than it can handle. */
     G3,
-    /** No new work goes to a zone that was taken out of service. */
+    /** No new work for a zone that was taken out, and none from a router that is cut off. */
     G4,
     /** A caller receives the whole answer to its own request. */
     G5,
@@ -16,14 +16,14 @@
     G6,
     /** A non-idempotent request runs at most once. */
     G7,
-    /** A leaving server receives no new work and no request in flight is interrupted. */
+    /** No new work for a backend server that leaves. */
     G8,
     /** A planned stop interrupts no request. */
     G9,
-    /** Configuration versions only advance. */
+    /** Configuration versions never revert; a server has at most one whole holder. */
     G10,
-    /** Capacity is not idle while admissible work waits. */
+    /** Capacity is not idle while work waits. */
     G11,
-    /** Reserved capacity returns within the target of its class. */
+    /** Reserved capacity is available within its target. */
     G12
 }
