--- /dev/null
+++ b/cli/src/main/java/org/coltsfootquay/cli/RouterCommand.java
@@ -0,0 +1,69 @@
+package org.coltsfootquay.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.coltsfootquay.router.daemon.PlatformPorts;
+import org.coltsfootquay.router.daemon.RouterDaemon;
+import org.coltsfootquay.router.daemon.RouterOptions;
+import org.coltsfootquay.router.settings.RouterSettings;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsReader;
+
+/** Runs one router until SIGTERM or SIGINT, which begin a planned stop. */
+public final class RouterCommand implements Command {
+
+    @Override
+    public String name() {
+        return "router";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "run one router of the fleet";
+    }
+
+    @Override
+    public Options options() {
+        return new Options().addOption(null, "settings", true, "settings file of the router");
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CommandException, InterruptedException {
+        Path file = Path.of(CommandUtils.option(line, "settings"));
+        RouterSettings settings;
+        try {
+            settings = SettingsReader.readFile(file, RouterSettings::read);
+        } catch (SettingsException e) {
+            throw new UsageException(e.getMessage());
+        }
+        RouterDaemon router = new RouterDaemon(
+                settings,
+                RouterOptions.standard(PlatformPorts.overHttp(
+                        settings.timing().platformTimeout(), settings.id().hashCode())));
+        try {
+            router.start().join();
+        } catch (CompletionException e) {
+            router.kill();
+            throw new CommandException(
+                    e.getCause() == null ? e.getMessage() : e.getCause().getMessage(), e);
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            router.stop().join();
+            ended.countDown();
+        }));
+        while (!ended.await(1, TimeUnit.HOURS)) {
+            console.report("event=router_running router=" + settings.id());
+        }
+        return CommandRunner.EXIT_OK;
+    }
+}
