Stop in a planned way and hand servers over

Change: RouterDaemon uses ShutdownController; owners send ServerHandover; the tree carries the age of settled contact.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/PlatformPorts.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/PlatformPorts.java
@@ -4,15 +4,17 @@
 import java.util.concurrent.Executor;
 import org.coltsfootquay.decision.store.ObjectStore;
 import org.coltsfootquay.decision.store.TableStore;
+import org.coltsfootquay.decision.store.VmList;
 
 /**
  * Ports to the platform.
  *
  * @param table table service
  * @param objects object store
+ * @param vms list of VMs
  * @param close ends the connections
  */
-public record PlatformPorts(TableStore table, ObjectStore objects, Runnable close) {
+public record PlatformPorts(TableStore table, ObjectStore objects, VmList vms, Runnable close) {
 
     /** Creates the ports of one router. */
     @FunctionalInterface
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
@@ -26,11 +27,13 @@
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.PeerContact;
 import org.coltsfootquay.decision.membership.WorkPermit;
-import org.coltsfootquay.decision.ownership.HandoverListener;
 import org.coltsfootquay.decision.ownership.OwnedServers;
 import org.coltsfootquay.decision.ownership.OwnerMap;
 import org.coltsfootquay.decision.placement.TwoChoiceSelector;
 import org.coltsfootquay.decision.retry.RetryBudget;
+import org.coltsfootquay.decision.shutdown.ShutdownController;
+import org.coltsfootquay.decision.shutdown.ShutdownSettings;
+import org.coltsfootquay.decision.shutdown.ShutdownState;
 import org.coltsfootquay.decision.timeline.EventKind;
 import org.coltsfootquay.decision.timeline.TimelineEvent;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -92,6 +95,7 @@
     private volatile HttpFrontEnd frontEnd;
     private volatile HttpRequestHandler routes;
     private ControlPlane plane;
+    private ShutdownController shutdown;
     private volatile String callerAddress = "";
     private volatile String peerAddress = "";
     private volatile boolean stopping;
@@ -183,16 +187,8 @@
         control.execute(() -> {
             if (!stopping) {
                 stopping = true;
-                timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPING, "router", settings.id()));
-                new PlannedStop(
-                                control.timer(),
-                                plane,
-                                entry,
-                                owner,
-                                settings.timing()
-                                        .addressKeepTime()
-                                        .plus(settings.timing().pollPeriod()))
-                        .begin(this::stopEnded);
+                owner.beginStop();
+                shutdown.begin(this::stopEnded);
             }
         });
         return stopped;
@@ -304,22 +300,31 @@
                 invariants,
                 System::nanoTime);
         EntryParts parts = new EntryParts(environment, backend, calls, frames, records, metrics, System::nanoTime);
-        return new EntryRouter(
-                parts,
-                startMillis,
-                settings.limits().maxRequests(),
-                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0
-                        ? Optional.of("no configuration is known yet")
-                        : Optional.empty());
+        return new EntryRouter(parts, startMillis, settings.limits().maxRequests(), this::admissionObstacle);
+    }
+
+    private Optional<String> admissionObstacle() {
+        if (blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0) {
+            return Optional.of("no configuration is known yet");
+        }
+        ShutdownState.Phase phase = blackboard.read(ShutdownState.TOPIC).phase();
+        return phase.compareTo(ShutdownState.Phase.DRAINING) >= 0
+                ? Optional.of("it has ended its planned stop")
+                : Optional.empty();
+    }
+
+    private void handedOver(ServerName server, RouterId newOwner, long fencingNumber) {
+        owner.handover(server, fencingNumber, frame -> frames.send(newOwner, frame));
     }
 
     private ControlPlane controlPlane() {
         ControlPorts ports = new ControlPorts(
                 platform.table(),
                 platform.objects(),
+                platform.vms(),
                 new JsonConfigurationCodec(),
                 configurations,
-                HandoverListener.NONE,
+                this::handedOver,
                 timeline);
         return new ControlPlane(
                 ports,
@@ -346,6 +351,15 @@
                 entry);
     }
 
+    private ShutdownSettings shutdownSettings() {
+        ShutdownSettings standard = ShutdownSettings.standard();
+        return new ShutdownSettings(
+                settings.timing().addressKeepTime(),
+                settings.timing().pollPeriod().multipliedBy(11).dividedBy(10),
+                standard.handoverPatience(),
+                standard.checkPeriod());
+    }
+
     private HttpLimits httpLimits() {
         HttpLimits standard = HttpLimits.standard();
         return new HttpLimits(
@@ -361,6 +375,8 @@
     private void startControl() {
         TimerService timer = control.timer();
         plane = controlPlane();
+        shutdown = new ShutdownController(
+                plane, () -> entry.requests() + owner.waiting(), timer, blackboard, timeline, shutdownSettings());
         routes = apiRoutes();
         configurations.connect(plane.configuration());
         blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationInForce);
@@ -383,6 +399,7 @@
     }
 
     private void controlFrame(RouterId from, Frame frame) {
+        // The tree and the configuration belong to the control thread; what is not known here is ignored.
         control.execute(() -> {
             if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
                 configurations.received(from, frame.getConfigurationNotice());
@@ -419,7 +436,6 @@
 
     private void stopEnded() {
         invariants.stops().exiting();
-        timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPED, "router", settings.id()));
         var unused = frontEnd.drain().thenRun(this::close);
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -34,6 +34,7 @@
     private final OwnerPort peers;
     private final RegionName region;
     private final TotalsNode node;
+    private final SettledContact settled = new SettledContact();
     private boolean draining;
 
     TotalsExchange(
@@ -60,8 +61,16 @@
     /** Takes a message of the tree; false when the frame is none. */
     boolean received(RouterId from, Frame frame) {
         switch (frame.getBodyCase()) {
-            case USAGE_REPORT -> node.receive(from, TotalsFrames.report(frame.getUsageReport()), now());
-            case FLEET_TOTALS -> node.receive(from, TotalsFrames.totals(frame.getFleetTotals()), now());
+            case USAGE_REPORT -> {
+                settled.report(from, frame.getUsageReport().getSettledAgeMillis(), now());
+                node.receive(from, TotalsFrames.report(frame.getUsageReport()), now());
+            }
+            case FLEET_TOTALS -> {
+                if (node.parent().filter(from::equals).isPresent()) {
+                    settled.totals(frame.getFleetTotals().getSettledAgeMillis(), now());
+                }
+                node.receive(from, TotalsFrames.totals(frame.getFleetTotals()), now());
+            }
             default -> {
                 return false;
             }
@@ -91,16 +100,22 @@
         draining = false;
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
         usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
+        StoreContact contact = blackboard.read(StoreContact.TOPIC);
+        settled.own(contact.lastSettledNanos());
         node.local(
-                blackboard.read(StoreContact.TOPIC).reachable(),
+                contact.reachable(),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
         output.parent()
-                .ifPresent(
-                        parent -> output.report().ifPresent(report -> peers.send(parent, TotalsFrames.frame(report))));
-        output.exchange().forEach((root, report) -> peers.send(root, TotalsFrames.frame(report)));
-        output.totals().forEach((child, totals) -> peers.send(child, TotalsFrames.frame(totals)));
+                .ifPresent(parent -> output.report()
+                        .ifPresent(
+                                report -> peers.send(parent, TotalsFrames.frame(report, settled.ageOfSubtree(now())))));
+        output.exchange()
+                .forEach((root, report) -> peers.send(root, TotalsFrames.frame(report, settled.ageOfSubtree(now()))));
+        output.totals()
+                .forEach((child, totals) ->
+                        peers.send(child, TotalsFrames.frame(totals, settled.ageOfRegion(node.isRoot(), now()))));
         publish();
     }
 
@@ -116,6 +131,7 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
+                        settled.lastSettledNanos(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -22,7 +22,7 @@
 
     private TotalsFrames() {}
 
-    static Frame frame(UsageReport report) {
+    static Frame frame(UsageReport report, long settledAgeMillis) {
         var message = org.coltsfootquay.protocol.generated.UsageReport.newBuilder()
                 .setSequence(report.sequence())
                 .setIncarnation(report.session())
@@ -30,6 +30,7 @@
                 .setRoutersWithoutStore(report.routersWithoutStore())
                 .setConfigurationVersion(report.configurationVersion())
                 .setIntervalMillis(report.ageMillis())
+                .setSettledAgeMillis(settledAgeMillis)
                 .addAllLoads(loads(report.loads()));
         report.usage()
                 .forEach(usage -> message.addUsage(ServiceUsage.newBuilder()
@@ -59,7 +60,7 @@
                 message.getIntervalMillis());
     }
 
-    static Frame frame(FleetTotals totals) {
+    static Frame frame(FleetTotals totals, long settledAgeMillis) {
         var message = org.coltsfootquay.protocol.generated.FleetTotals.newBuilder()
                 .setVersion(totals.version())
                 .setAcknowledgedSequence(totals.acknowledgedSequence())
@@ -67,6 +68,7 @@
                 .setRouters(totals.routers())
                 .setRoutersWithoutStore(totals.routersWithoutStore())
                 .setConfigurationVersion(totals.configurationVersion())
+                .setSettledAgeMillis(settledAgeMillis)
                 .addAllLoads(loads(totals.loads()));
         totals.offsets()
                 .forEach(offset -> message.addOffsets(WorkspaceOffset.newBuilder()
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerFrames.java
@@ -16,6 +16,7 @@
 import org.coltsfootquay.decision.dispatch.DispatchAction;
 import org.coltsfootquay.decision.dispatch.DispatchEvent;
 import org.coltsfootquay.decision.dispatch.EndReport;
+import org.coltsfootquay.decision.dispatch.HandoverState;
 import org.coltsfootquay.decision.dispatch.InFlightEntry;
 import org.coltsfootquay.decision.dispatch.QueuedRequest;
 import org.coltsfootquay.protocol.generated.Enqueue;
@@ -28,6 +29,7 @@
 import org.coltsfootquay.protocol.generated.Queued;
 import org.coltsfootquay.protocol.generated.Redirect;
 import org.coltsfootquay.protocol.generated.Refuse;
+import org.coltsfootquay.protocol.generated.ServerHandover;
 
 /** Translation between the events and actions of dispatchers and the frames exchanged with entry routers. */
 final class OwnerFrames {
@@ -68,17 +70,42 @@
                         finished.getServerMillis()));
     }
 
-    static List<InFlightEntry> inFlight(RouterId entry, List<InFlightRequest> requests) {
+    static List<InFlightEntry> inFlight(RouterId sender, List<InFlightRequest> requests) {
         return requests.stream()
                 .map(request -> new InFlightEntry(
                         attempt(request.getRequest(), request.getAttempt()),
-                        entry,
+                        request.getEntry().isEmpty() ? sender : new RouterId(request.getEntry()),
                         new WorkspaceId(request.getWorkspace()),
                         new ClassName(request.getClassOfWork()),
                         request.getChargedUnits()))
                 .toList();
     }
 
+    static DispatchEvent handedOver(RouterId from, ServerHandover handover) {
+        return new DispatchEvent.HandedOver(new HandoverState(
+                new ServerName(handover.getServer()),
+                handover.getLimit(),
+                handover.getCold(),
+                inFlight(from, handover.getRequestsList())));
+    }
+
+    static Frame handover(HandoverState state, long fencingNumber) {
+        ServerHandover.Builder handover = ServerHandover.newBuilder()
+                .setServer(state.server().value())
+                .setFencingNumber(fencingNumber)
+                .setLimit(state.limit())
+                .setCold(state.cold());
+        state.requests()
+                .forEach(request -> handover.addRequests(InFlightRequest.newBuilder()
+                        .setRequest(request.attempt().request().value())
+                        .setAttempt(request.attempt().attempt())
+                        .setWorkspace(request.workspace().value())
+                        .setClassOfWork(request.classOfWork().value())
+                        .setChargedUnits(request.chargedUnits())
+                        .setEntry(request.entry().value())));
+        return Frame.newBuilder().setServerHandover(handover).build();
+    }
+
     static RequestAttempt attempt(String request, int attempt) {
         return new RequestAttempt(new RequestId(request), attempt);
     }
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -18,6 +18,7 @@
 import org.coltsfootquay.decision.dispatch.DispatchEvent;
 import org.coltsfootquay.decision.dispatch.Dispatcher;
 import org.coltsfootquay.decision.dispatch.LoadReport;
+import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.UsageIncrement;
 import org.coltsfootquay.decision.ownership.OwnedServer;
@@ -35,15 +36,16 @@
  */
 public final class OwnerRouter {
 
-    private final Function<ServiceName, Dispatcher> factory;
+    private final Function<ServiceName, ServiceDispatcher> factory;
     private final BiConsumer<RouterId, Frame> frames;
     private final LongSupplier clock;
     private final DispatchThread thread;
-    private final Map<ServiceName, Dispatcher> dispatchers = new TreeMap<>();
+    private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
     private OwnedServers owned = new OwnedServers(List.of());
     private ServiceTotals totals = ServiceTotals.TOPIC.initial();
     private FleetConfiguration configuration = FleetConfiguration.none();
     private boolean stopping;
+    private volatile int waiting;
 
     /**
      * Creates an owner without dispatchers; they appear with the services of the configuration.
@@ -55,7 +57,7 @@
      */
     public OwnerRouter(
             String name,
-            Function<ServiceName, Dispatcher> factory,
+            Function<ServiceName, ServiceDispatcher> factory,
             BiConsumer<RouterId, Frame> frames,
             LongSupplier clock) {
         this.factory = factory;
@@ -99,6 +101,10 @@
                         () -> new DispatchEvent.InFlightReported(
                                 new ServerName(frame.getInFlight().getServer()),
                                 OwnerFrames.inFlight(from, frame.getInFlight().getRequestsList())));
+            case SERVER_HANDOVER ->
+                inFlight(
+                        new ServerName(frame.getServerHandover().getServer()),
+                        () -> OwnerFrames.handedOver(from, frame.getServerHandover()));
             case PROBE -> probe(from, frame.getProbe());
             case PROBE_REPLY ->
                 idleOwner(
@@ -177,6 +183,29 @@
         });
     }
 
+    /**
+     * Writes down what the next owner of a server needs to know.
+     *
+     * @param server server
+     * @param fencingNumber fencing number of the next owner
+     * @param receiver receives the message, on the dispatch thread; not called when the server is unknown
+     */
+    public void handover(ServerName server, long fencingNumber, Consumer<Frame> receiver) {
+        post(() -> dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.handover(server).stream())
+                .findFirst()
+                .ifPresent(state -> receiver.accept(OwnerFrames.handover(state, fencingNumber))));
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return requests of all services, as of the last tick
+     */
+    public int waiting() {
+        return waiting;
+    }
+
     /** Begins the planned stop: queues are redirected or refused. */
     public void beginStop() {
         post(() -> {
@@ -301,20 +330,21 @@
     }
 
     private boolean tick() {
-        boolean waiting = false;
+        int sum = 0;
         long now = clock.getAsLong();
         for (Dispatcher dispatcher : dispatchers.values()) {
             run(dispatcher, new DispatchEvent.Ticked());
-            waiting |= dispatcher.load(now).queueLength() > 0;
+            sum += dispatcher.load(now).queueLength();
         }
-        return waiting;
+        waiting = sum;
+        return sum > 0;
     }
 
     private void dispatcher(ServiceName service) {
         if (dispatchers.containsKey(service)) {
             return;
         }
-        Dispatcher created = factory.apply(service);
+        ServiceDispatcher created = factory.apply(service);
         dispatchers.put(service, created);
         run(created, new DispatchEvent.ConfigurationChanged(configuration));
         run(created, serversOf(service));
--- a/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
@@ -85,7 +85,7 @@
         return new RouterDaemon(settings, RouterOptions.standard((address, loops, callbacks) -> {
             PlatformClient client =
                     new PlatformClient(PlatformClientSettings.of(address), loops, callbacks, new Random(1));
-            return new PlatformPorts(client.tableStore(), client.objectStore(), client::close);
+            return new PlatformPorts(client.tableStore(), client.objectStore(), client.vmList(), client::close);
         }));
     }
 
