Explain refusals, and report violations through the monitor

Cause: callers and operators need the meaning of each code; the checks wrote events of their own form. Change: docs/refusals.md and a test that it names each code; checks use InvariantMonitor; event ServerMoved, so that requests in flight report to the new owner of their server; whole answers are held up to 16 MiB; the end of a record is tried for two hours instead of 30 s.

--- a/decision/src/main/java/org/coltsfootquay/decision/idempotency/RecordMachine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/idempotency/RecordMachine.java
@@ -30,14 +30,19 @@
     /** Time for which the confirmation of the first write is sought. */
     static final long CONFIRM_WITHIN_NANOS = Duration.ofSeconds(3).toNanos();
 
-    /** Time for which recording the ending is tried; the caller does not wait for it. */
-    static final long SETTLE_WITHIN_NANOS = Duration.ofSeconds(30).toNanos();
+    /**
+     * Time for which recording the ending is tried; the caller does not wait for it. Longer than a store outage of an
+     * hour, because a record that stays {@code started} makes each retry {@code in_progress} while this router lives.
+     */
+    static final long SETTLE_WITHIN_NANOS = Duration.ofHours(2).toNanos();
 
     /** Time after which a result that did not come counts as unknown; the batching router may have died. */
     private static final long RESULT_WITHIN_NANOS = Duration.ofSeconds(1).toNanos();
 
     private static final long FIRST_DELAY_NANOS = Duration.ofMillis(50).toNanos();
     private static final long LONGEST_DELAY_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long LONGEST_SETTLE_DELAY_NANOS =
+            Duration.ofSeconds(10).toNanos();
     private static final String STARTED = "started";
     private static final String FINISHED = "finished";
     private static final String NOT_RUN = "not_run";
@@ -295,7 +300,8 @@
             return giveUp(nowNanos);
         }
         wakeNanos = nowNanos + delayNanos;
-        delayNanos = Math.min(LONGEST_DELAY_NANOS, 2 * delayNanos);
+        long longest = phase == Phase.SETTLING ? LONGEST_SETTLE_DELAY_NANOS : LONGEST_DELAY_NANOS;
+        delayNanos = Math.min(longest, 2 * delayNanos);
         return List.of();
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/invariant/AnswerIntegrityInvariant.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/AnswerIntegrityInvariant.java
@@ -10,7 +10,6 @@
 import org.coltsfootquay.decision.request.RequestAction;
 import org.coltsfootquay.decision.request.RequestEvent;
 import org.coltsfootquay.decision.request.RequestObserver;
-import org.coltsfootquay.decision.timeline.TimelineSink;
 
 /**
  * Checks G5: each part is passed once, in order, as the server of the current attempt sent it; an answer is presented
@@ -18,18 +17,16 @@
  */
 public final class AnswerIntegrityInvariant implements RequestObserver {
 
-    private static final String GUARANTEE = "G5";
-
-    private final TimelineSink sink;
+    private final InvariantMonitor monitor;
     private final Map<RequestId, State> states = new HashMap<>();
 
     /**
      * Creates the check.
      *
-     * @param sink receives one event for each violation
+     * @param monitor counts and records the violations
      */
-    public AnswerIntegrityInvariant(TimelineSink sink) {
-        this.sink = sink;
+    public AnswerIntegrityInvariant(InvariantMonitor monitor) {
+        this.monitor = monitor;
     }
 
     @Override
@@ -103,7 +100,7 @@
 
     private void require(boolean holds, CallerRequest request, String reason) {
         if (!holds) {
-            RequestInvariants.violated(sink, GUARANTEE, request.id(), reason);
+            RequestInvariants.violated(monitor, Guarantee.G5, request.id(), reason);
         }
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/invariant/AtMostOnceInvariant.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/AtMostOnceInvariant.java
@@ -14,7 +14,6 @@
 import org.coltsfootquay.decision.store.Row;
 import org.coltsfootquay.decision.store.WriteOutcome;
 import org.coltsfootquay.decision.store.WriteResult;
-import org.coltsfootquay.decision.timeline.TimelineSink;
 
 /**
  * Checks G7 for the requests of this router: a non-idempotent request is opened on a server only after its record was
@@ -30,19 +29,17 @@
     /** Time for which a key is remembered; shorter than the life of a record, after which a key may be used again. */
     static final long REMEMBER_NANOS = Duration.ofHours(23).toNanos();
 
-    private static final String GUARANTEE = "G7";
-
-    private final TimelineSink sink;
+    private final InvariantMonitor monitor;
     private final Map<String, Sent> sent = bounded();
     private final Map<RequestId, Boolean> confirmed = bounded();
 
     /**
      * Creates the check.
      *
-     * @param sink receives one event for each violation
+     * @param monitor counts and records the violations
      */
-    public AtMostOnceInvariant(TimelineSink sink) {
-        this.sink = sink;
+    public AtMostOnceInvariant(InvariantMonitor monitor) {
+        this.monitor = monitor;
     }
 
     @Override
@@ -69,12 +66,16 @@
             Sent former = sent.put(key, new Sent(started.attempt(), nowNanos));
             if (former != null && nowNanos - former.atNanos() < REMEMBER_NANOS) {
                 RequestInvariants.violated(
-                        sink, GUARANTEE, request.id(), "bytes were written before by attempt " + former.attempt());
+                        monitor,
+                        Guarantee.G7,
+                        request.id(),
+                        "bytes were written before by attempt " + former.attempt());
             }
         }
         boolean opens = actions.stream().anyMatch(RequestAction.OpenOnServer.class::isInstance);
         if (opens && !confirmed.containsKey(request.id())) {
-            RequestInvariants.violated(sink, GUARANTEE, request.id(), "opened on a server before its record existed");
+            RequestInvariants.violated(
+                    monitor, Guarantee.G7, request.id(), "opened on a server before its record existed");
         }
         if (RequestInvariants.closed(actions)) {
             confirmed.remove(request.id());
--- a/decision/src/main/java/org/coltsfootquay/decision/request/AnswerBuffer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/AnswerBuffer.java
@@ -45,6 +45,10 @@
         return next;
     }
 
+    int heldBytes() {
+        return length;
+    }
+
     boolean tokens() {
         return tokens;
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/request/CallerAnswer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/CallerAnswer.java
@@ -7,6 +7,9 @@
 /** Answer as the caller receives it: every part once, in order, and complete or marked as broken. */
 final class CallerAnswer {
 
+    /** Largest answer that is held until it is complete; 220 streams of a daemon hold far less on average. */
+    static final int MAX_HELD_BYTES = 16 * 1024 * 1024;
+
     private static final int OK = 200;
 
     private final CallerRequest request;
@@ -65,6 +68,10 @@
         return ended;
     }
 
+    boolean isTooLarge() {
+        return buffer.heldBytes() > MAX_HELD_BYTES;
+    }
+
     List<String> tokenTexts() {
         return buffer.tokenTexts();
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/request/RequestEvent.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/RequestEvent.java
@@ -89,6 +89,14 @@
      */
     record OwnerLost(RouterId owner) implements RequestEvent {}
 
+    /**
+     * A server has a new owner; what is in flight on it is reported there from now on.
+     *
+     * @param server server
+     * @param owner new owner
+     */
+    record ServerMoved(ServerName server, RouterId owner) implements RequestEvent {}
+
     /**
      * The client began to write the request to the server, after {@link RequestFlow#maySend} returned true.
      *
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestFlowTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestFlowTest.java
@@ -159,6 +159,42 @@
         assertEquals(Optional.of(SERVER), flow.inFlightOn());
     }
 
+    @Test
+    void requestInFlightReportsToTheNewOwnerOfItsServer() {
+        start(Kind.MODEL_STREAMED);
+        send();
+        RouterId newOwner = new RouterId("new-owner");
+        handle(new RequestEvent.ServerMoved(new ServerName("s2"), new RouterId("other")));
+        handle(new RequestEvent.ServerMoved(SERVER, newOwner));
+        handle(new RequestEvent.HeadReceived(attempt, 200, Map.of()));
+        List<RequestAction> end = handle(new RequestEvent.AnswerEnded(attempt, 0, "stop"));
+        assertEquals(
+                newOwner, only(RequestAction.ReportFinished.class, end).get(0).owner());
+    }
+
+    @Test
+    void wholeAnswerBeyondTheBoundIsNotHeld() {
+        start(Kind.APPLICATION_READ);
+        send();
+        handle(new RequestEvent.HeadReceived(attempt, 200, Map.of()));
+        byte[] megabyte = new byte[1024 * 1024];
+        List<RequestAction> actions = new ArrayList<>();
+        for (int i = 0; i <= 16; i++) {
+            actions.addAll(handle(new RequestEvent.PartReceived(attempt, (long) i * megabyte.length, megabyte)));
+        }
+        ErrorReply error = only(RequestAction.Refuse.class, actions).get(0).error();
+        assertEquals(ErrorCode.ANSWER_TOO_LARGE, error.code());
+        assertEquals(ErrorReply.Execution.UNKNOWN, error.execution());
+        assertTrue(flow.isClosed());
+    }
+
+    @Test
+    void timerComesBeforeActionsThatMayDeliverEventsAtOnce() {
+        start(Kind.APPLICATION_READ);
+        RequestFlow other = new RequestFlow(flow.request(), new Unchecked(world.first));
+        assertTrue(other.handle(new RequestEvent.Admitted(), now).get(0) instanceof RequestAction.ScheduleTimer);
+    }
+
     /** 5,000 streams of 480 tokens of 5 bytes; the daemon has 220 on average. */
     @Test
     void fiveThousandStreamsTakeLittleMemory() {
