Evaluate ownership on changes instead of on each tick

Cause: parsing all rows ten times a second would cost a core at 1,600 servers, and a handover whose target died could stay unresolved. Change: parsed rows are cached, claims planned on change or once a second, an unresolved handover is ended by a confirming write.

--- a/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
@@ -56,6 +56,7 @@
     private RowValue written = RowValue.empty();
     private long joinRevision;
     private long releasedRevision;
+    private long publishedChanges = -1;
     private boolean leaving;
     private boolean writing;
     private boolean stopped;
@@ -361,6 +362,10 @@
     }
 
     private void publishView() {
+        if (watcher.changeCount() == publishedChanges) {
+            return;
+        }
+        publishedChanges = watcher.changeCount();
         Map<RouterId, Member> members = new HashMap<>();
         for (Row row : watcher.rows(MemberRow.PREFIX)) {
             if (!row.expired()) {
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
@@ -6,19 +6,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
-import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.configuration.BackendServer;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.configuration.Service;
 import org.coltsfootquay.decision.configuration.ServiceKind;
-import org.coltsfootquay.decision.configuration.Zone;
 import org.coltsfootquay.decision.membership.EstablishedMembers;
 import org.coltsfootquay.decision.membership.GoneRouters;
 import org.coltsfootquay.decision.membership.LeaseState;
@@ -46,30 +43,29 @@
  */
 public final class OwnershipController {
 
-    /** Rank up to which a router claims a server that better placed routers have left. */
-    private static final int MAX_RANK = 3;
-
     private final StoreWatcher watcher;
     private final MembershipController membership;
     private final TimerService timer;
     private final Blackboard blackboard;
     private final TimelineSink timeline;
-    private final RandomGenerator random;
+    private final ServerRows rows;
+    private final ClaimPlanner claims;
     private final MembershipSettings self;
     private final OwnershipSettings settings;
     private final ShareRule shareRule;
-    private final EstablishedMembers established;
     private final GoneRouters gone;
     private final ServerRowWriter writer;
     private final HandoverListener handovers;
 
-    private final Map<ServerName, Long> claimTimes = new HashMap<>();
     private final TreeMap<ServerName, Held> held = new TreeMap<>();
     private final Map<RouterId, Long> memberSince = new HashMap<>();
     private TimerService.Subscription subscription;
     private boolean leaving;
     private boolean stopped;
-    private long releasePendingRevision;
+    private FleetConfiguration evaluated = FleetConfiguration.none();
+    private MembershipView evaluatedView = new MembershipView(Map.of(), 0);
+    private LeaseState evaluatedLease;
+    private long lostRevision;
     private long releaseAtNanos;
     private OwnedServers published = new OwnedServers(List.of());
 
@@ -104,16 +100,16 @@
             OwnershipSettings settings) {
         this.watcher = ArgumentUtils.requireValue(watcher, "watcher");
         this.membership = ArgumentUtils.requireValue(membership, "membership");
-        this.established = ArgumentUtils.requireValue(established, "established members");
         this.gone = ArgumentUtils.requireValue(gone, "gone routers");
         this.timer = ArgumentUtils.requireValue(timer, "timer");
         this.blackboard = ArgumentUtils.requireValue(blackboard, "blackboard");
         this.timeline = ArgumentUtils.requireValue(timeline, "timeline");
-        this.random = ArgumentUtils.requireValue(random, "random");
         this.handovers = ArgumentUtils.requireValue(handovers, "handover listener");
         this.self = ArgumentUtils.requireValue(self, "membership settings");
         this.settings = ArgumentUtils.requireValue(settings, "settings");
+        this.rows = new ServerRows(watcher);
         this.shareRule = new ShareRule(blackboard, watcher, self.region(), settings.outageReportAge());
+        this.claims = new ClaimPlanner(watcher, rows, established, gone, timer, blackboard, random, self, settings);
         this.writer = new ServerRowWriter(store, watcher, timer, settings);
     }
 
@@ -162,18 +158,24 @@
         FleetConfiguration configuration = blackboard.read(ConfigurationTopic.IN_FORCE);
         MembershipView view = blackboard.read(MembershipView.TOPIC);
         LeaseState lease = blackboard.read(LeaseState.TOPIC);
-        noteMembers(view, now);
-        Map<ServerName, Row> rows = new TreeMap<>();
-        for (Row row : watcher.rows(ServerRow.PREFIX)) {
-            rows.put(new ServerName(row.key().substring(ServerRow.PREFIX.length())), row);
+        boolean changed = rows.refresh() || !configuration.equals(evaluated) || !view.equals(evaluatedView);
+        if (changed || !lease.equals(evaluatedLease)) {
+            evaluated = configuration;
+            evaluatedView = view;
+            evaluatedLease = lease;
+            noteMembers(view, now);
+            updateHeld(lease, now);
+            OwnerMap map = OwnerMapUtils.ownerMap(rows, configuration, view);
+            if (!map.equals(blackboard.read(OwnerMap.TOPIC))) {
+                blackboard.write(OwnerMap.TOPIC, map);
+            }
+            findLostShares(lease, now);
         }
-        updateHeld(rows, lease, now);
         publishOwned(configuration, lease, now);
-        publishOwners(rows, configuration, view);
-        noteLapsedShares(rows, lease, now);
+        announceRelease(lease, now);
         if (lease.valid(now) && watcher.completeAsOf(lease.confirmedNanos())) {
-            claim(rows, configuration, view, lease, now);
-            maintain(rows, configuration, view, now);
+            claim(changed, configuration, view, lease);
+            maintain(configuration, view, now);
         }
     }
 
@@ -182,11 +184,11 @@
         view.members().keySet().forEach(id -> memberSince.putIfAbsent(id, now));
     }
 
-    private void updateHeld(Map<ServerName, Row> rows, LeaseState lease, long now) {
+    private void updateHeld(LeaseState lease, long now) {
         boolean member = lease.phase() == LeaseState.Phase.HELD || lease.phase() == LeaseState.Phase.LAPSED;
         held.entrySet().removeIf(entry -> {
-            Row row = rows.get(entry.getKey());
-            boolean lost = !member || row == null || !ServerRow.of(row.value()).heldBy(self.id(), lease.incarnation());
+            ServerRows.Entry row = rows.get(entry.getKey());
+            boolean lost = !member || row == null || !row.content().heldBy(self.id(), lease.incarnation());
             if (lost) {
                 record(EventKind.SERVER_RELEASED, entry.getKey(), entry.getValue().fencingNumber, "row names another");
             }
@@ -195,8 +197,8 @@
         if (!member) {
             return;
         }
-        rows.forEach((server, row) -> {
-            ServerRow content = ServerRow.of(row.value());
+        rows.all().forEach((server, row) -> {
+            ServerRow content = row.content();
             if (content.heldBy(self.id(), lease.incarnation())) {
                 Held entry = held.get(server);
                 if (entry == null || entry.fencingNumber != content.fencingNumber()) {
@@ -205,8 +207,6 @@
                     record(EventKind.SERVER_CLAIMED, server, content.fencingNumber(), "share " + content.share());
                 }
                 entry.row = content;
-                entry.usable |= content.lapsed().isEmpty()
-                        || blackboard.read(StoreContact.TOPIC).settled();
             }
         });
     }
@@ -218,21 +218,25 @@
 
     private void publishOwned(FleetConfiguration configuration, LeaseState lease, long now) {
         boolean permitted = blackboard.read(WorkPermit.TOPIC).allows(now);
+        boolean settled = blackboard.read(StoreContact.TOPIC).settled();
         long horizon = now + settings.lookahead().toNanos();
-        boolean confirmed = lease.valid(horizon) && watcher.completeAsOf(lease.confirmedNanos());
         long expiry = lease.validUntilNanos() + self.safetyMargin().toNanos();
+        boolean confirmed = lease.valid(horizon) && watcher.completeAsOf(lease.confirmedNanos());
+        boolean outage = !confirmed && !held.isEmpty() && shareRule.outageConfirmed(expiry, horizon);
         List<OwnedServer> servers = new ArrayList<>();
         held.forEach((name, entry) -> {
+            entry.usable |= settled || entry.row.lapsed().isEmpty();
             BackendServer server = configuration.servers().get(name);
             if (server != null) {
                 Service service = configuration.services().get(server.service());
+                double share = entry.row.share();
                 servers.add(new OwnedServer(
                         name,
                         server.service(),
                         service == null ? ServiceKind.MODEL : service.kind(),
                         server.address(),
                         entry.fencingNumber,
-                        shareRule.usable(entry.row.share(), confirmed, expiry, horizon),
+                        confirmed || outage ? share : ShareRule.lapsedShare(share),
                         permitted && !entry.stopping && entry.usable && configuration.admitsWork(name),
                         server.checksFencing(),
                         !entry.row.handedOver()));
@@ -243,157 +247,62 @@
             published = snapshot;
             blackboard.write(OwnedServers.TOPIC, snapshot);
         }
-        ShareValidity validity =
-                new ShareValidity(confirmed ? lease.validUntilNanos() : shareRule.reducedAfterNanos(expiry, horizon));
+        ShareValidity validity = new ShareValidity(
+                confirmed ? lease.validUntilNanos() : outage ? shareRule.reportEndNanos() : Long.MAX_VALUE);
         if (!validity.equals(blackboard.read(ShareValidity.TOPIC))) {
             blackboard.write(ShareValidity.TOPIC, validity);
         }
     }
 
-    private void publishOwners(Map<ServerName, Row> rows, FleetConfiguration configuration, MembershipView view) {
-        Map<ServerName, OwnerMap.Owner> owners = new HashMap<>();
-        Map<ServiceName, TreeSet<RouterId>> byService = new HashMap<>();
-        rows.forEach((name, row) -> {
-            ServerRow content = ServerRow.of(row.value());
-            Member holder = content.holder().map(view.members()::get).orElse(null);
-            if (holder == null || holder.incarnation() != content.incarnation()) {
-                return;
-            }
-            owners.put(name, new OwnerMap.Owner(holder.id(), content.incarnation(), content.fencingNumber()));
-            BackendServer server = configuration.servers().get(name);
-            if (server != null && configuration.admitsWork(name)) {
-                byService
-                        .computeIfAbsent(server.service(), service -> new TreeSet<>())
-                        .add(holder.id());
-            }
-        });
-        Map<ServiceName, List<RouterId>> ownersByService = new HashMap<>();
-        byService.forEach((service, routers) -> ownersByService.put(service, List.copyOf(routers)));
-        OwnerMap map = new OwnerMap(owners, ownersByService);
-        if (!map.equals(blackboard.read(OwnerMap.TOPIC))) {
-            blackboard.write(OwnerMap.TOPIC, map);
-        }
-    }
-
-    /** Tells claimants that this router no longer uses the servers that its lapsed incarnation lost. */
-    private void noteLapsedShares(Map<ServerName, Row> rows, LeaseState lease, long now) {
+    /** Finds servers that others claimed while this router's lease was lapsed. */
+    private void findLostShares(LeaseState lease, long now) {
         long newest = 0;
-        for (Row row : rows.values()) {
-            boolean named = ServerRow.of(row.value()).lapsed().stream()
-                    .anyMatch(entry -> entry.router().equals(self.id()) && entry.incarnation() == lease.incarnation());
-            newest = Math.max(newest, named ? row.revision() : 0);
+        for (ServerRows.Entry entry : rows.all().values()) {
+            boolean named = entry.content().lapsed().stream()
+                    .anyMatch(
+                            lapsed -> lapsed.router().equals(self.id()) && lapsed.incarnation() == lease.incarnation());
+            newest = Math.max(newest, named ? entry.row().revision() : 0);
         }
-        if (newest > releasePendingRevision) {
-            releasePendingRevision = newest;
+        if (newest > lostRevision) {
+            lostRevision = newest;
             releaseAtNanos = now + settings.grantLapse().toNanos();
         }
-        if (newest > 0 && now >= releaseAtNanos && lease.phase() == LeaseState.Phase.HELD) {
-            membership.released(releasePendingRevision);
+    }
+
+    /** Tells claimants that this router no longer uses the servers that it lost, when all its grants have lapsed. */
+    private void announceRelease(LeaseState lease, long now) {
+        if (lostRevision > 0 && now >= releaseAtNanos && lease.phase() == LeaseState.Phase.HELD) {
+            membership.released(lostRevision);
         }
     }
 
-    private void claim(
-            Map<ServerName, Row> rows,
-            FleetConfiguration configuration,
-            MembershipView view,
-            LeaseState lease,
-            long now) {
+    private void claim(boolean changed, FleetConfiguration configuration, MembershipView view, LeaseState lease) {
         Member me = view.members().get(self.id());
         if (leaving || me == null || me.incarnation() != lease.incarnation()) {
             return;
         }
-        for (BackendServer server : configuration.servers().values()) {
-            Row row = rows.get(server.name());
-            Optional<ClaimPlan> plan =
-                    inRegion(server, configuration) ? claimPlan(server, row, view) : Optional.empty();
-            int rank = plan.isPresent() ? rank(server, configuration, view) : -1;
-            if (rank < 0 || rank > MAX_RANK) {
-                claimTimes.remove(server.name());
-                continue;
-            }
-            long claimAt = claimTimes.computeIfAbsent(
-                    server.name(),
-                    name -> now
-                            + rank * settings.claimRankDelay().toNanos()
-                            + Math.round(settings.claimJitter().toNanos() * random.nextDouble()));
-            if (now >= claimAt && writer.mayWrite(server.name())) {
-                writer.claim(server.name(), plan.get(), self.id(), lease);
-            }
-        }
-    }
-
-    private int rank(BackendServer server, FleetConfiguration configuration, MembershipView view) {
-        List<Member> ranked =
-                RendezvousUtils.ranked(server, configuration, view.members().values());
-        for (int i = 0; i < ranked.size(); i++) {
-            if (ranked.get(i).id().equals(self.id())) {
-                return i;
+        claims.refresh(changed, configuration, view);
+        claims.due(view).forEach((server, plan) -> {
+            if (writer.mayWrite(server)) {
+                writer.claim(server, plan, self.id(), lease);
             }
-        }
-        return -1;
-    }
-
-    private boolean inRegion(BackendServer server, FleetConfiguration configuration) {
-        Zone zone = configuration.zones().get(server.zone());
-        return zone != null && zone.region().equals(self.region());
-    }
-
-    private Optional<ClaimPlan> claimPlan(BackendServer server, Row row, MembershipView view) {
-        if (row == null) {
-            return Optional.of(new ClaimPlan(Optional.empty(), Optional.empty(), Optional.empty(), List.of()));
-        }
-        ServerRow content = ServerRow.of(row.value());
-        if (content.holder().isEmpty()) {
-            return Optional.of(new ClaimPlan(
-                    Optional.of(row), Optional.empty(), Optional.empty(), ShareRule.known(content.lapsed(), view)));
-        }
-        RouterId holder = content.holder().get();
-        Optional<Row> holderRow = watcher.row(MemberRow.key(holder)).filter(found -> !found.expired());
-        boolean newer = holderRow
-                .filter(found -> MemberRow.of(found).member().incarnation() > content.incarnation())
-                .isPresent();
-        if (holderRow.isPresent() && !newer) {
-            return Optional.empty();
-        }
-        boolean mayUseAll = established.contains(holder, content.incarnation()) || gone.contains(holder);
-        boolean settled = blackboard.read(StoreContact.TOPIC).settled();
-        if (!newer && !server.checksFencing() && (!mayUseAll || !settled)) {
-            return Optional.empty();
-        }
-        List<ServerRow.LapsedHolder> lapsed = new ArrayList<>(ShareRule.known(content.lapsed(), view));
-        if (!newer) {
-            lapsed.add(
-                    new ServerRow.LapsedHolder(holder, content.incarnation(), ShareRule.lapsedShare(content.share())));
-        }
-        return Optional.of(new ClaimPlan(
-                Optional.of(row),
-                Optional.of(MemberRow.key(holder)),
-                newer ? holderRow : Optional.empty(),
-                server.checksFencing() ? List.of() : lapsed));
+        });
     }
 
-    private void maintain(Map<ServerName, Row> rows, FleetConfiguration configuration, MembershipView view, long now) {
+    private void maintain(FleetConfiguration configuration, MembershipView view, long now) {
+        boolean zoneLeaving = !configuration.inService(self.zone());
         held.forEach((name, entry) -> {
-            Row row = rows.get(name);
-            if (row == null) {
-                return;
-            }
+            Row row = rows.get(name).row();
             BackendServer server = configuration.servers().get(name);
             Optional<Member> target = server == null
                     ? Optional.empty()
                     : RendezvousUtils.preferredOwner(
                             server, configuration, view.members().values());
-            boolean moveAway = leaving || (server == null && configuration.version() > 0);
-            boolean zoneLeaving = !configuration.inService(self.zone());
-            boolean other =
-                    target.filter(member -> !member.id().equals(self.id())).isPresent();
-            boolean dwelt = other
-                    && now - entry.sinceNanos >= settings.dwellTime().toNanos()
-                    && now - memberSince.getOrDefault(target.get().id(), now)
-                            >= settings.dwellTime().toNanos();
+            Optional<Member> other = target.filter(member -> !member.id().equals(self.id()));
+            boolean mustLeave = leaving || (server == null && configuration.version() > 0);
             if (entry.stopping) {
-                continueHandover(name, entry, row, target, other, now);
-            } else if (moveAway || (other && (dwelt || zoneLeaving))) {
+                continueHandover(name, entry, row, other, mustLeave, now);
+            } else if (mustLeave || (other.isPresent() && (zoneLeaving || dwelt(entry, other.get(), now)))) {
                 if (writer.mayWrite(name) && handoversInProgress() < settings.writesAtATime()) {
                     entry.stopping = true;
                     entry.stoppedNanos = now;
@@ -404,26 +313,33 @@
         });
     }
 
+    private boolean dwelt(Held entry, Member target, long now) {
+        long dwell = settings.dwellTime().toNanos();
+        return now - entry.sinceNanos >= dwell && now - memberSince.getOrDefault(target.id(), now) >= dwell;
+    }
+
     private long handoversInProgress() {
         return held.values().stream().filter(entry -> entry.stopping).count();
     }
 
     private void continueHandover(
-            ServerName name, Held entry, Row row, Optional<Member> target, boolean other, long now) {
+            ServerName name, Held entry, Row row, Optional<Member> other, boolean mustLeave, long now) {
         if (now - entry.stoppedNanos < settings.grantLapse().toNanos() || !writer.mayWrite(name)) {
             return;
         }
-        if (!other && !leaving && target.isPresent()) {
-            if (!entry.sent) {
+        if (other.isEmpty() && !mustLeave) {
+            if (entry.sentRevision != row.revision()) {
                 entry.stopping = false;
+            } else {
+                writer.confirm(name, row);
             }
             return;
         }
-        entry.sent = true;
-        Optional<Row> targetRow = other ? watcher.row(MemberRow.key(target.get().id())) : Optional.empty();
+        entry.sentRevision = row.revision();
+        Optional<Row> targetRow = other.flatMap(member -> watcher.row(MemberRow.key(member.id())));
         writer.handOver(name, row, targetRow, () -> {
             if (targetRow.isPresent()) {
-                handovers.handedOver(name, target.get().id(), entry.fencingNumber + 1);
+                handovers.handedOver(name, other.get().id(), entry.fencingNumber + 1);
             }
         });
     }
@@ -449,7 +365,10 @@
         private boolean usable;
 
         private boolean stopping;
-        private boolean sent;
+
+        /** Revision that the last handover was conditional on; it may still take effect while the row has it. */
+        private long sentRevision;
+
         private long stoppedNanos;
 
         private Held(long fencingNumber, long sinceNanos) {
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ServerRowWriter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ServerRowWriter.java
@@ -82,6 +82,11 @@
         send(server, content, writes, applied);
     }
 
+    /** Writes the row as it is, so that no earlier write with the same basis can take effect any more. */
+    void confirm(ServerName server, Row row) {
+        prune(server, row, ServerRow.of(row.value()).lapsed());
+    }
+
     void prune(ServerName server, Row row, List<LapsedHolder> lapsed) {
         ServerRow old = ServerRow.of(row.value());
         ServerRow content =
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -37,11 +37,6 @@
         return share / 2;
     }
 
-    /** Returns the share that this router may use now of a server whose row gives it {@code share}. */
-    double usable(double share, boolean leaseConfirmed, long expiryNanos, long now) {
-        return leaseConfirmed || outageConfirmed(expiryNanos, now) ? share : lapsedShare(share);
-    }
-
     /**
      * Tells whether nobody has claimed since this router's lease expired and nobody can claim now: no router of the
      * region reaches the store, and none had settled contact after the expiry.
@@ -66,11 +61,11 @@
         return members + (int) expired;
     }
 
-    /** Returns until when {@link #usable} gives the same answer for a lapsed lease as it gives now. */
-    long reducedAfterNanos(long expiryNanos, long now) {
-        return outageConfirmed(expiryNanos, now) && knownRouters() > 1
-                ? blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos()
-                : Long.MAX_VALUE;
+    /** Returns until when a confirmed outage may be relied on without a newer report. */
+    long reportEndNanos() {
+        return knownRouters() <= 1
+                ? Long.MAX_VALUE
+                : blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos();
     }
 
     /** Returns the lapsed holders that no newer incarnation has replaced. */
--- a/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcher.java
@@ -46,6 +46,7 @@
     private long lastAnswerNanos;
     private long changedNanos;
     private long lastSettledNanos;
+    private long changeCount;
 
     /**
      * Creates a watcher that does nothing until {@link #start()}.
@@ -140,6 +141,15 @@
         return revision;
     }
 
+    /**
+     * Returns a number that grows with each change of the copy.
+     *
+     * @return number of changes since the start
+     */
+    public long changeCount() {
+        return changeCount;
+    }
+
     /**
      * Tells whether the copy contains every change that was made before a point in time.
      *
@@ -165,7 +175,11 @@
      * @param row row as read or written
      */
     public void note(Row row) {
-        rows.merge(row.key(), row, (old, fresh) -> fresh.revision() >= old.revision() ? fresh : old);
+        Row old = rows.get(row.key());
+        if (old == null || (row.revision() >= old.revision() && !row.equals(old))) {
+            rows.put(row.key(), row);
+            changeCount++;
+        }
     }
 
     /**
