Wire the platform client into the daemon

Cause: the daemon took its platform ports from tests only. Change: PlatformPorts.overHttp, traffic gauges of the platform client, and the loads of the dispatchers for reports. Conclusion: the router command can use the daemon as it is.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/PlatformPorts.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/PlatformPorts.java
@@ -1,10 +1,15 @@
 package org.coltsfootquay.router.daemon;
 
 import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.Random;
 import java.util.concurrent.Executor;
 import org.coltsfootquay.decision.store.ObjectStore;
 import org.coltsfootquay.decision.store.TableStore;
 import org.coltsfootquay.decision.store.VmList;
+import org.coltsfootquay.router.channel.TrafficCounter;
+import org.coltsfootquay.router.platform.PlatformClient;
+import org.coltsfootquay.router.platform.PlatformClientSettings;
 
 /**
  * Ports to the platform.
@@ -12,9 +17,29 @@
  * @param table table service
  * @param objects object store
  * @param vms list of VMs
+ * @param traffic bytes sent and received
  * @param close ends the connections
  */
-public record PlatformPorts(TableStore table, ObjectStore objects, VmList vms, Runnable close) {
+public record PlatformPorts(TableStore table, ObjectStore objects, VmList vms, TrafficCounter traffic, Runnable close) {
+
+    /**
+     * Returns a factory of ports that reach the platform over HTTP.
+     *
+     * @param callTimeout time limit of one call
+     * @param seed seed of the jitter between retries
+     * @return factory
+     */
+    public static Factory overHttp(Duration callTimeout, long seed) {
+        return (address, eventLoops, callbacks) -> {
+            PlatformClient client = new PlatformClient(
+                    PlatformClientSettings.of(address).withCallTimeout(callTimeout),
+                    eventLoops,
+                    callbacks,
+                    new Random(seed));
+            return new PlatformPorts(
+                    client.tableStore(), client.objectStore(), client.vmList(), client.traffic(), client::close);
+        };
+    }
 
     /** Creates the ports of one router. */
     @FunctionalInterface
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -9,11 +9,13 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
@@ -21,6 +23,7 @@
 import org.coltsfootquay.decision.control.ControlSettings;
 import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipSettings;
@@ -117,7 +120,7 @@
                     }
                     options.observer().accept(recorded);
                 });
-        this.invariants = new RequestInvariants(timeline);
+        this.invariants = new RequestInvariants(new InvariantMonitor(timeline));
         this.eventLoops = ChannelUtils.eventLoops(name, options.eventLoopThreads());
         this.control = new ControlThread(name + "-control");
         this.platform = options.platform().create(settings.platformAddress(), eventLoops, control);
@@ -230,6 +233,15 @@
         return peerAddress;
     }
 
+    /**
+     * Reads the loads of this router's dispatchers.
+     *
+     * @param receiver receives the load of each service on the dispatch thread; must not block
+     */
+    public void serviceLoads(Consumer<Map<ServiceName, ServiceTotals.OwnerLoad>> receiver) {
+        owner.loads(receiver);
+    }
+
     /**
      * Returns the metrics.
      *
@@ -458,6 +470,8 @@
         metrics.gauge(
                 "owned_servers",
                 () -> blackboard.read(OwnedServers.TOPIC).servers().size());
+        metrics.gauge("platform_sent_bytes", () -> platform.traffic().sentBytes());
+        metrics.gauge("platform_received_bytes", () -> platform.traffic().receivedBytes());
         for (Frame.BodyCase kind : Frame.BodyCase.values()) {
             String label = "{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
             var traffic = network.counters().byKind().get(kind);
--- a/router/src/main/java/org/coltsfootquay/router/platform/PlatformClientSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/platform/PlatformClientSettings.java
@@ -51,4 +51,15 @@
         return new PlatformClientSettings(
                 address, Duration.ofSeconds(2), 16, 256, 3, Duration.ofMillis(50), Duration.ofMillis(500));
     }
+
+    /**
+     * Returns a copy with another time limit.
+     *
+     * @param timeout time limit of one call
+     * @return the copy
+     */
+    public PlatformClientSettings withCallTimeout(Duration timeout) {
+        return new PlatformClientSettings(
+                address, timeout, maxInFlight, maxWaiting, readAttempts, firstBackoff, maxBackoff);
+    }
 }
--- a/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.coltsfootquay.decision.common.RegionName;
@@ -16,8 +15,6 @@
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.ownership.OwnerMap;
-import org.coltsfootquay.router.platform.PlatformClient;
-import org.coltsfootquay.router.platform.PlatformClientSettings;
 import org.coltsfootquay.router.settings.KeyDigestUtils;
 import org.coltsfootquay.router.settings.RouterSettings;
 import org.coltsfootquay.standin.application.ApplicationSettings;
@@ -82,11 +79,7 @@
                         Duration.ofMillis(250),
                         Duration.ofMillis(200)),
                 RouterSettings.Limits.DEFAULT);
-        return new RouterDaemon(settings, RouterOptions.standard((address, loops, callbacks) -> {
-            PlatformClient client =
-                    new PlatformClient(PlatformClientSettings.of(address), loops, callbacks, new Random(1));
-            return new PlatformPorts(client.tableStore(), client.objectStore(), client.vmList(), client::close);
-        }));
+        return new RouterDaemon(settings, RouterOptions.standard(PlatformPorts.overHttp(Duration.ofSeconds(2), 1)));
     }
 
     HttpResponse<String> model(RouterDaemon router, String content, int tokens, boolean stream) throws Exception {
