Run the whole path: quickstart with 8 routers on loopback

Cause: nothing had shown the whole path at work. Change: quickstart, router and stand-in commands are wired; log lines are key=value pairs on standard output of a router.

--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -5,6 +5,7 @@
 import org.coltsfootquay.cli.operator.AddressesCommand;
 import org.coltsfootquay.cli.operator.ConfigCommand;
 import org.coltsfootquay.cli.operator.LeaveReturnCommand;
+import org.coltsfootquay.cli.quickstart.QuickstartCommand;
 import org.coltsfootquay.cli.timeline.TimelineCommand;
 
 /** Entry point of the executable jar. */
@@ -24,6 +25,9 @@
 
     static List<Command> commands() {
         return List.of(
+                new QuickstartCommand(),
+                new RouterCommand(),
+                new StandInCommand(),
                 new CheckConfigCommand(),
                 new ConfigCommand(),
                 LeaveReturnCommand.zone(),
--- a/cli/src/main/java/org/coltsfootquay/cli/RouterCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/RouterCommand.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.coltsfootquay.router.daemon.PlatformPorts;
@@ -45,6 +45,7 @@
         } catch (SettingsException e) {
             throw new UsageException(e.getMessage());
         }
+        LogUtils.writeTo(console.out(), Level.INFO);
         RouterDaemon router = new RouterDaemon(
                 settings,
                 RouterOptions.standard(PlatformPorts.overHttp(
@@ -61,9 +62,7 @@
             router.stop().join();
             ended.countDown();
         }));
-        while (!ended.await(1, TimeUnit.HOURS)) {
-            console.report("event=router_running router=" + settings.id());
-        }
+        ended.await();
         return CommandRunner.EXIT_OK;
     }
 }
--- a/cli/src/main/java/org/coltsfootquay/cli/StandInCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/StandInCommand.java
@@ -86,31 +86,29 @@
     private static Plan read(SettingsObject root) {
         Kind kind = root.constant("kind", Kind.class, null);
         int port = (int) root.number("port", 1, 65535);
-        Starter starter =
-                switch (kind) {
-                    case PLATFORM -> {
-                        PlatformSettings settings = values(root, PlatformSettings.defaults());
-                        yield toListen -> {
-                            PlatformStandIn standIn =
-                                    new PlatformStandIn(settings, System::nanoTime).start(toListen);
-                            return new Running(standIn.address(), standIn::close);
-                        };
-                    }
-                    case ENGINE -> {
-                        EngineSettings settings = values(root, EngineSettings.defaults());
-                        yield toListen -> {
-                            EngineStandIn standIn = new EngineStandIn(settings).start(toListen);
-                            return new Running(standIn.address(), standIn::close);
-                        };
-                    }
-                    case APPLICATION -> {
-                        ApplicationSettings settings = values(root, ApplicationSettings.defaults());
-                        yield toListen -> {
-                            ApplicationStandIn standIn = new ApplicationStandIn(settings).start(toListen);
-                            return new Running(standIn.address(), standIn::close);
-                        };
-                    }
+        Starter starter = switch (kind) {
+            case PLATFORM -> {
+                PlatformSettings settings = values(root, PlatformSettings.defaults());
+                yield toListen -> {
+                    PlatformStandIn standIn = new PlatformStandIn(settings, System::nanoTime).start(toListen);
+                    return new Running(standIn.address(), standIn::close);
                 };
+            }
+            case ENGINE -> {
+                EngineSettings settings = values(root, EngineSettings.defaults());
+                yield toListen -> {
+                    EngineStandIn standIn = new EngineStandIn(settings).start(toListen);
+                    return new Running(standIn.address(), standIn::close);
+                };
+            }
+            case APPLICATION -> {
+                ApplicationSettings settings = values(root, ApplicationSettings.defaults());
+                yield toListen -> {
+                    ApplicationStandIn standIn = new ApplicationStandIn(settings).start(toListen);
+                    return new Running(standIn.address(), standIn::close);
+                };
+            }
+        };
         return new Plan(kind, port, starter);
     }
 
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/ControlTraffic.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/ControlTraffic.java
@@ -17,8 +17,18 @@
 
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final Set<String> REQUEST_KINDS = Set.of(
-            "enqueue", "queued", "grant", "refuse", "redirect", "withdraw", "progress", "finished", "preempt", "started",
-            "record_batch", "record_batch_reply");
+            "enqueue",
+            "queued",
+            "grant",
+            "refuse",
+            "redirect",
+            "withdraw",
+            "progress",
+            "finished",
+            "preempt",
+            "started",
+            "record_batch",
+            "record_batch_reply");
 
     /** Adds up the counters in the metrics of routers. */
     static ControlTraffic of(List<String> metricsOfRouters) {
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/EmbeddedFleet.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/EmbeddedFleet.java
@@ -47,7 +47,24 @@
 
     static EngineSettings engineSettings(boolean checksFencing) {
         return new EngineSettings(
-                ENGINE_KNEE, 14, 60, 2_000, 10, 0.05, 200_000, 10, 512, 100, 50, 200, 0, 2, 1, 3, false, 5_000,
+                ENGINE_KNEE,
+                14,
+                60,
+                2_000,
+                10,
+                0.05,
+                200_000,
+                10,
+                512,
+                100,
+                50,
+                200,
+                0,
+                2,
+                1,
+                3,
+                false,
+                5_000,
                 checksFencing);
     }
 
@@ -57,9 +74,9 @@
             engines.add(new EngineStandIn(engineSettings(FleetLayout.checksFencing(i))).start());
         }
         for (int i = 0; i < FleetLayout.APPLICATION_SERVERS; i++) {
-            applications.add(new ApplicationStandIn(
-                            ApplicationSettings.fast().withChecksFencing(FleetLayout.checksFencing(i)))
-                    .start());
+            applications.add(
+                    new ApplicationStandIn(ApplicationSettings.fast().withChecksFencing(FleetLayout.checksFencing(i)))
+                            .start());
         }
         for (int i = 0; i < FleetLayout.ROUTERS; i++) {
             RouterDaemon router = new RouterDaemon(
@@ -100,8 +117,7 @@
 
     /** Sends an operator call to the first router and returns the body of a successful answer. */
     String operator(String method, String path) throws CommandException, InterruptedException {
-        return send(request(routers.get(0).callerAddress(), path)
-                .method(method, HttpRequest.BodyPublishers.noBody()));
+        return send(request(routers.get(0).callerAddress(), path).method(method, HttpRequest.BodyPublishers.noBody()));
     }
 
     /** Reads the metrics of each router as JSON. */
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/FleetLayout.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/FleetLayout.java
@@ -108,16 +108,31 @@
 
     private static Map<ClassName, ClassOfWork> classes() {
         Map<ClassName, ClassOfWork> classes = new LinkedHashMap<>();
-        Target label = new Target(
-                Optional.of(LABEL_FIRST_TOKEN), Optional.of(Duration.ofMillis(57)), Optional.empty());
-        Target summary = new Target(
-                Optional.of(Duration.ofSeconds(5)), Optional.of(Duration.ofMillis(57)), Optional.empty());
+        Target label = new Target(Optional.of(LABEL_FIRST_TOKEN), Optional.of(Duration.ofMillis(57)), Optional.empty());
+        Target summary =
+                new Target(Optional.of(Duration.ofSeconds(5)), Optional.of(Duration.ofMillis(57)), Optional.empty());
         Target lookup = new Target(Optional.empty(), Optional.empty(), Optional.of(Duration.ofMillis(500)));
         Target checkout = new Target(Optional.empty(), Optional.empty(), Optional.of(Duration.ofSeconds(2)));
         add(classes, LABEL_CLASS, MODEL, label, 20, true, List.of(), true);
         add(classes, SUMMARY_CLASS, MODEL, summary, 60, true, List.of(), false);
-        add(classes, LOOKUP_CLASS, APPLICATION, lookup, 5, true, List.of(new ClassOfWork.Route("GET", "/drawings")), false);
-        add(classes, CHECKOUT_CLASS, APPLICATION, checkout, 10, false, List.of(new ClassOfWork.Route("POST", "/checkouts")), false);
+        add(
+                classes,
+                LOOKUP_CLASS,
+                APPLICATION,
+                lookup,
+                5,
+                true,
+                List.of(new ClassOfWork.Route("GET", "/drawings")),
+                false);
+        add(
+                classes,
+                CHECKOUT_CLASS,
+                APPLICATION,
+                checkout,
+                10,
+                false,
+                List.of(new ClassOfWork.Route("POST", "/checkouts")),
+                false);
         return classes;
     }
 
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/FleetSampler.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/FleetSampler.java
@@ -93,7 +93,8 @@
             return;
         }
         long busy = fleet.engines().stream()
-                .mapToLong(engine -> Math.min(EmbeddedFleet.ENGINE_KNEE, engine.counters().value("running")))
+                .mapToLong(engine ->
+                        Math.min(EmbeddedFleet.ENGINE_KNEE, engine.counters().value("running")))
                 .sum();
         long slots = (long) FleetLayout.ENGINES * EmbeddedFleet.ENGINE_KNEE;
         samples++;
@@ -108,13 +109,14 @@
         AtomicLong queued = new AtomicLong();
         List<?> routers = fleet.routers();
         AtomicLong missing = new AtomicLong(routers.size());
-        fleet.routers().forEach(router -> router.serviceLoads(loads -> {
-            add(loads, free, queued);
-            if (missing.decrementAndGet() == 0) {
-                freeSlots.set(free.get());
-                waiting.set(queued.get());
-            }
-        }));
+        fleet.routers()
+                .forEach(router -> router.serviceLoads(loads -> {
+                    add(loads, free, queued);
+                    if (missing.decrementAndGet() == 0) {
+                        freeSlots.set(free.get());
+                        waiting.set(queued.get());
+                    }
+                }));
     }
 
     private static void add(Map<ServiceName, OwnerLoad> loads, AtomicLong free, AtomicLong queued) {
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.coltsfootquay.cli.Command;
@@ -13,6 +14,7 @@
 import org.coltsfootquay.cli.CommandRunner;
 import org.coltsfootquay.cli.CommandUtils;
 import org.coltsfootquay.cli.Console;
+import org.coltsfootquay.cli.LogUtils;
 import org.coltsfootquay.cli.UsageException;
 import org.coltsfootquay.decision.dispatch.PolicyName;
 
@@ -54,6 +56,7 @@
     public int run(CommandLine line, Console console) throws UsageException, CommandException, InterruptedException {
         long seconds = CommandUtils.number(line, "seconds", 8, 600, DEFAULT_SECONDS);
         long seed = CommandUtils.number(line, "seed", 0, Long.MAX_VALUE, DEFAULT_SEED);
+        LogUtils.writeTo(console.err(), Level.WARNING);
         QuickstartReport report = new QuickstartRun(seconds, seed, policy(line), console).run();
         print(report, console);
         if (line.hasOption("report")) {
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartLoads.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartLoads.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.cli.load.CallProfile;
-import org.coltsfootquay.cli.load.CallProfile.Type;
 import org.coltsfootquay.cli.load.WorkspaceLoad;
 
 /** Loads of the 16 workspaces: three always backlogged, one with reserved capacity that comes late, twelve small. */
@@ -18,13 +17,19 @@
     private static final double SMALL_CALLS_PER_SECOND = 1.5;
 
     private static final CallProfile LABEL = new CallProfile(
-            FleetLayout.LABEL_CLASS, Type.STREAM, FleetLayout.MODEL.value(), 80, 240, 8, 24);
+            FleetLayout.LABEL_CLASS, CallProfile.Type.STREAM, FleetLayout.MODEL.value(), 80, 240, 8, 24);
     private static final CallProfile SUMMARY = new CallProfile(
-            FleetLayout.SUMMARY_CLASS, Type.STREAM, FleetLayout.MODEL.value(), 1_200, MAX_PROMPT_CHARS, 40, MAX_TOKENS);
+            FleetLayout.SUMMARY_CLASS,
+            CallProfile.Type.STREAM,
+            FleetLayout.MODEL.value(),
+            1_200,
+            MAX_PROMPT_CHARS,
+            40,
+            MAX_TOKENS);
     private static final CallProfile LOOKUP =
-            new CallProfile(FleetLayout.LOOKUP_CLASS, Type.READ, "/drawings/17", 1, 1, 1, 1);
+            new CallProfile(FleetLayout.LOOKUP_CLASS, CallProfile.Type.READ, "/drawings/17", 1, 1, 1, 1);
     private static final CallProfile CHECKOUT =
-            new CallProfile(FleetLayout.CHECKOUT_CLASS, Type.BOOKING, "/checkouts", 1, 1, 1, 1);
+            new CallProfile(FleetLayout.CHECKOUT_CLASS, CallProfile.Type.BOOKING, "/checkouts", 1, 1, 1, 1);
 
     private QuickstartLoads() {}
 
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartReport.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartReport.java
@@ -55,7 +55,7 @@
      * @param cut calls that were cut in that time
      * @param lateStarts requests that started on an engine of the zone later than 2 s after the order
      * @param steadyFirstTokenP95Millis 95th percentile of the time to first token before
-     * @param changeFirstTokenP95Millis 95th percentile of the time to first token from the order to 5 s after the return
+     * @param changeFirstTokenP95Millis the same, from the order to 5 s after the return
      */
     record ZoneChange(
             String zone,
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartRun.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartRun.java
@@ -67,7 +67,8 @@
         long endMillis = Duration.ofSeconds(seconds).toMillis();
         try (LoadRun run = new LoadRun(fleet.callerAddresses(), seed);
                 FleetSampler sampler = new FleetSampler(fleet, run.recorder())) {
-            QuickstartLoads.all(fleet.callerAddresses(), endMillis / 4, endMillis).forEach(run::start);
+            QuickstartLoads.all(fleet.callerAddresses(), endMillis / 4, endMillis)
+                    .forEach(run::start);
             sampler.start();
             waitUntil(run, WARM_UP.toMillis());
             CpuMeter cpu = new CpuMeter("-control");
@@ -143,21 +144,26 @@
                 .limit(5)
                 .forEach(result -> violations.add("G5: " + result));
         for (ApplicationStandIn application : fleet.applications()) {
-            application.executions().repeatedKeys().forEach((key, count) ->
-                    violations.add("G7: booking " + key + " ran " + count + " times on one server"));
+            application
+                    .executions()
+                    .repeatedKeys()
+                    .forEach((key, count) ->
+                            violations.add("G7: booking " + key + " ran " + count + " times on one server"));
         }
         List<String> seen = new ArrayList<>();
-        fleet.applications().forEach(server -> server.executions().byKey().keySet().forEach(key -> {
-            if (seen.contains(key)) {
-                violations.add("G7: booking " + key + " ran on two servers");
-            }
-            seen.add(key);
-        }));
+        fleet.applications()
+                .forEach(server -> server.executions().byKey().keySet().forEach(key -> {
+                    if (seen.contains(key)) {
+                        violations.add("G7: booking " + key + " ran on two servers");
+                    }
+                    seen.add(key);
+                }));
         if (zone.lateStarts() > 0) {
             violations.add("G4: " + zone.lateStarts() + " requests started in the zone later than 2 s after the order");
         }
         if (!idle) {
-            violations.add("G9: " + run.inFlight() + " calls had no answer " + IDLE_LIMIT.toSeconds() + " s after the end");
+            violations.add(
+                    "G9: " + run.inFlight() + " calls had no answer " + IDLE_LIMIT.toSeconds() + " s after the end");
         }
         for (EngineStandIn engine : fleet.engines()) {
             if (engine.counters().value("collapses") > 0) {
@@ -179,11 +185,10 @@
                 + (long) UNITS_PER_OUTPUT_TOKEN * QuickstartLoads.MAX_TOKENS;
         double rate = results.stream().mapToLong(CallResult::units).sum() / (double) seconds;
         double scale = rate * (TOTALS_AGE_SECONDS + 1) / FleetLayout.LARGE.size();
-        double bound = FairnessUtils.gapBound(largest, scale, rate / FleetLayout.ENGINES);
+        double bound = FairnessUtils.gapBound((double) largest, scale, rate / FleetLayout.ENGINES);
         List<CallResult> labels = ResultUtils.completed(
                 select(results, result -> result.classOfWork().equals(FleetLayout.LABEL_CLASS)));
-        List<CallResult> small =
-                select(labels, result -> !FleetLayout.LARGE.contains(result.workspace()));
+        List<CallResult> small = select(labels, result -> !FleetLayout.LARGE.contains(result.workspace()));
         return new QuickstartReport(
                 seconds,
                 results.size(),
@@ -191,7 +196,7 @@
                 ResultUtils.countBy(
                         select(results, result -> result.outcome() != CallOutcome.COMPLETED), CallResult::detail),
                 samples.fairnessGapUnits() / (double) largest,
-                bound / largest,
+                bound / (double) largest,
                 samples.utilisation(),
                 samples.idleWhileWaiting(),
                 controlBytes,
@@ -206,17 +211,19 @@
                 violations);
     }
 
-    private QuickstartReport.ZoneChange zoneChange(
-            List<CallResult> results, List<CallResult> small, ZoneTimes zone) {
+    private QuickstartReport.ZoneChange zoneChange(List<CallResult> results, List<CallResult> small, ZoneTimes zone) {
         long end = zone.returnedMillis() + ZONE_SETTLES_MILLIS;
-        List<CallResult> during = select(
-                results, result -> result.startedMillis() >= zone.leftMillis() && result.startedMillis() < end);
+        List<CallResult> during =
+                select(results, result -> result.startedMillis() >= zone.leftMillis() && result.startedMillis() < end);
         List<CallResult> before = select(
-                small, result -> result.startedMillis() >= WARM_UP.toMillis() && result.startedMillis() < zone.leftMillis());
+                small,
+                result -> result.startedMillis() >= WARM_UP.toMillis() && result.startedMillis() < zone.leftMillis());
         return new QuickstartReport.ZoneChange(
                 leavingZone,
-                select(during, result -> result.outcome() == CallOutcome.REFUSED_NOT_RUN).size(),
-                select(during, result -> ResultUtils.isOneOf(result, CallOutcome.CUT, CallOutcome.FAILED)).size(),
+                select(during, result -> result.outcome() == CallOutcome.REFUSED_NOT_RUN)
+                        .size(),
+                select(during, result -> ResultUtils.isOneOf(result, CallOutcome.CUT, CallOutcome.FAILED))
+                        .size(),
                 zone.lateStarts(),
                 percentile(before, CallResult::firstOutputMillis, 0.95),
                 percentile(
