--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/RouterStopTest.java
@@ -0,0 +1,67 @@
+package org.coltsfootquay.router.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.decision.ownership.OwnedServers;
+import org.coltsfootquay.decision.timeline.EventKind;
+import org.coltsfootquay.standin.engine.ExpectedAnswer;
+import org.junit.jupiter.api.Test;
+
+class RouterStopTest {
+
+    /** Failure guarded against: a planned stop interrupts a stream, or leaves servers without an owner. */
+    @Test
+    void plannedStopEndsStreamsFirstAndHandsServersOver() throws Exception {
+        try (TestFleet fleet = new TestFleet(2, 2)) {
+            RouterDaemon stopping = fleet.routers.get(0);
+            RouterDaemon other = fleet.routers.get(1);
+            CompletableFuture<HttpResponse<String>> stream = fleet.http.sendAsync(
+                    fleet.modelRequest(stopping, "during the stop", 600, true).build(),
+                    HttpResponse.BodyHandlers.ofString());
+            TestFleet.await(
+                    "the stream runs", () -> stopping.metrics().json().contains("\"requests_in_progress\":1.0"));
+            CompletableFuture<Void> stopped = stopping.stop();
+            TestFleet.await(
+                    "the other router owns all servers",
+                    () -> other.blackboard().read(OwnedServers.TOPIC).servers().size() == 3);
+            TestFleet.await("the stopping router is no longer announced", () -> {
+                try {
+                    return !fleet.send(fleet.request(other, "/v1/addresses", "none"))
+                            .body()
+                            .contains(stopping.callerAddress());
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            });
+            HttpResponse<String> answer = stream.get(20, TimeUnit.SECONDS);
+            assertEquals(ExpectedAnswer.of("during the stop").text(600), TestFleet.text(answer.body()));
+            assertTrue(answer.body().endsWith("data: [DONE]\n\n"));
+            stopped.get(20, TimeUnit.SECONDS);
+            assertFalse(stopping.timeline().read(0, 100_000).stream()
+                    .anyMatch(entry -> entry.event().kind() == EventKind.INVARIANT_VIOLATED));
+            assertEquals(200, fleet.model(other, "after the stop", 5, false).statusCode());
+        }
+    }
+
+    /** Failure guarded against: requests wait for ever at an owner that crashed. */
+    @Test
+    void requestsGoOnAfterAnOwnerCrashed() throws Exception {
+        try (TestFleet fleet = new TestFleet(2, 2)) {
+            RouterDaemon crashed = fleet.routers.get(0);
+            RouterDaemon other = fleet.routers.get(1);
+            crashed.kill();
+            for (int i = 0; i < 5; i++) {
+                HttpResponse<String> answer = fleet.model(other, "after the crash " + i, 5, false);
+                assertEquals(200, answer.statusCode(), answer.body());
+            }
+            TestFleet.await(
+                    "the servers of the crashed router are claimed",
+                    () -> other.blackboard().read(OwnedServers.TOPIC).servers().size() == 3);
+        }
+    }
+}
--- a/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
@@ -1,10 +1,16 @@
 package org.coltsfootquay.router.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +22,8 @@
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.ownership.OwnerMap;
+import org.coltsfootquay.router.backend.SseSplitter;
+import org.coltsfootquay.router.backend.StreamEventScanner;
 import org.coltsfootquay.router.platform.PlatformClient;
 import org.coltsfootquay.router.platform.PlatformClientSettings;
 import org.coltsfootquay.router.settings.KeyDigestUtils;
@@ -109,6 +117,23 @@
         return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Joins the tokens of a stream. */
+    static String text(String events) {
+        StringBuilder text = new StringBuilder();
+        SseSplitter splitter =
+                new SseSplitter(data -> StreamEventScanner.scan(data).ifPresent(event -> text.append(event.content())));
+        splitter.feed(events.getBytes(StandardCharsets.UTF_8));
+        return text.toString();
+    }
+
+    /** Returns the code of a refusal that states that the request did not run. */
+    static String errorCode(HttpResponse<String> answer) throws IOException {
+        JsonNode error = new ObjectMapper().readTree(answer.body()).path("error");
+        assertEquals("not_run", error.path("execution").asText(), answer.body());
+        assertFalse(error.path("remedy").asText().isEmpty(), answer.body());
+        return error.path("code").asText();
+    }
+
     static void await(String what, BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (!condition.getAsBoolean()) {
