Check the guarantees of grants at run time and report requests in flight to new owners

Cause: violations at the owner were not checked, and a new owner did not learn of requests in flight after a crash. Change: OwnerChecks records decisions of dispatchers and checks G3, G4, G8 and G11; flows are told when their server has a new owner and report themselves to it.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,8 @@
 import org.coltsfootquay.decision.control.ControlSettings;
 import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.invariant.Guarantee;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipSettings;
@@ -76,6 +79,7 @@
     private final Blackboard blackboard = new Blackboard();
     private final RouterMetrics metrics = new RouterMetrics();
     private final TimelineBuffer timeline;
+    private final InvariantMonitor monitor;
     private final RequestInvariants invariants;
     private final EventLoopGroup eventLoops;
     private final ControlThread control;
@@ -92,6 +96,9 @@
     private final AtomicLong lastHeardNanos = new AtomicLong(Long.MIN_VALUE / 2);
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    /** Last known owner of each server, used on the control thread; kept while a server has none. */
+    private final Map<ServerName, OwnerMap.Owner> lastOwners = new HashMap<>();
+
     private volatile HttpFrontEnd frontEnd;
     private volatile HttpRequestHandler routes;
     private ControlPlane plane;
@@ -112,12 +119,10 @@
         this.timeline = new TimelineBuffer(
                 name, options.timelineCapacity(), () -> System.currentTimeMillis() * 1_000, recorded -> {
                     LOG.info(recorded.event().kind().label(), recorded.event().fields());
-                    if (recorded.event().kind() == EventKind.INVARIANT_VIOLATED) {
-                        metrics.count("invariant_violations_total");
-                    }
                     options.observer().accept(recorded);
                 });
-        this.invariants = new RequestInvariants(timeline);
+        this.monitor = new InvariantMonitor(timeline);
+        this.invariants = new RequestInvariants(monitor);
         this.eventLoops = ChannelUtils.eventLoops(name, options.eventLoopThreads());
         this.control = new ControlThread(name + "-control");
         this.platform = options.platform().create(settings.platformAddress(), eventLoops, control);
@@ -141,6 +146,7 @@
                 name,
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
                 frames::send,
+                new OwnerChecks(settings.id(), blackboard, timeline, metrics, monitor),
                 System::nanoTime);
         this.totals =
                 new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
@@ -382,6 +388,7 @@
         blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationInForce);
         blackboard.cell(OwnedServers.TOPIC).subscribe(owner::ownedServers);
         blackboard.cell(ServiceTotals.TOPIC).subscribe(owner::totals);
+        blackboard.cell(OwnerMap.TOPIC).subscribe(this::ownersChanged);
         records.start();
         totals.start();
         plane.start();
@@ -398,6 +405,17 @@
         configurations.inForce(configuration);
     }
 
+    /** Tells the flows on a server and its new owner about each other. */
+    private void ownersChanged(OwnerMap changed) {
+        changed.owners().forEach((server, now) -> {
+            OwnerMap.Owner before = lastOwners.get(server);
+            if (before != null && !before.equals(now)) {
+                entry.serverMoved(server, now.router());
+            }
+            lastOwners.put(server, now);
+        });
+    }
+
     private void controlFrame(RouterId from, Frame frame) {
         // The tree and the configuration belong to the control thread; what is not known here is ignored.
         control.execute(() -> {
@@ -458,6 +476,9 @@
         metrics.gauge(
                 "owned_servers",
                 () -> blackboard.read(OwnedServers.TOPIC).servers().size());
+        for (Guarantee guarantee : Guarantee.values()) {
+            metrics.gauge("invariant_violations{guarantee=\"" + guarantee + "\"}", () -> monitor.count(guarantee));
+        }
         for (Frame.BodyCase kind : Frame.BodyCase.values()) {
             String label = "{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
             var traffic = network.counters().byKind().get(kind);
--- a/router/src/main/java/org/coltsfootquay/router/entry/EntryFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/entry/EntryFrames.java
@@ -16,6 +16,8 @@
 import org.coltsfootquay.protocol.generated.Finished;
 import org.coltsfootquay.protocol.generated.Frame;
 import org.coltsfootquay.protocol.generated.Grant;
+import org.coltsfootquay.protocol.generated.InFlight;
+import org.coltsfootquay.protocol.generated.InFlightRequest;
 import org.coltsfootquay.protocol.generated.Progress;
 import org.coltsfootquay.protocol.generated.Refuse;
 import org.coltsfootquay.protocol.generated.Started;
@@ -83,6 +85,18 @@
                 .build();
     }
 
+    static Frame inFlight(ServerName server, CallerRequest request, RequestAttempt attempt) {
+        return Frame.newBuilder()
+                .setInFlight(InFlight.newBuilder()
+                        .setServer(server.value())
+                        .addRequests(InFlightRequest.newBuilder()
+                                .setRequest(attempt.request().value())
+                                .setAttempt(attempt.attempt())
+                                .setWorkspace(request.workspace().value())
+                                .setClassOfWork(request.classOfWork().name().value())))
+                .build();
+    }
+
     /** Reads a frame of an owner about an attempt; empty when it is none or is malformed. */
     static Optional<RequestEvent.OfAttempt> event(RouterId owner, Frame frame) {
         return switch (frame.getBodyCase()) {
--- a/router/src/main/java/org/coltsfootquay/router/entry/EntryRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/entry/EntryRouter.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.coltsfootquay.decision.common.RequestId;
 import org.coltsfootquay.decision.common.RouterId;
@@ -21,7 +20,6 @@
 import org.coltsfootquay.decision.request.RequestAction;
 import org.coltsfootquay.decision.request.RequestEvent;
 import org.coltsfootquay.protocol.generated.Frame;
-import org.coltsfootquay.protocol.generated.InFlightRequest;
 import org.coltsfootquay.protocol.generated.Progress;
 import org.coltsfootquay.protocol.generated.ProgressBatch;
 import org.coltsfootquay.router.http.BearerKeys;
@@ -123,13 +121,13 @@
     }
 
     /**
-     * Collects the requests in flight on a server.
+     * Tells the requests in flight on a server that another router owns it, and reports them to that router.
      *
      * @param server server
-     * @param receiver receives each one, on event loops
+     * @param owner new owner
      */
-    public void reportInFlight(ServerName server, Consumer<InFlightRequest> receiver) {
-        flows.values().forEach(runner -> runner.reportInFlight(server, receiver));
+    public void serverMoved(ServerName server, RouterId owner) {
+        flows.values().forEach(runner -> runner.serverMoved(server, owner));
     }
 
     /** Sends the collected progress to the owners; called once a second. */
--- a/router/src/main/java/org/coltsfootquay/router/entry/FlowRunner.java
+++ b/router/src/main/java/org/coltsfootquay/router/entry/FlowRunner.java
@@ -2,9 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import org.coltsfootquay.decision.common.RequestAttempt;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.configuration.ServiceKind;
@@ -15,7 +16,6 @@
 import org.coltsfootquay.decision.request.RequestEvent;
 import org.coltsfootquay.decision.request.RequestFlow;
 import org.coltsfootquay.protocol.generated.Frame;
-import org.coltsfootquay.protocol.generated.InFlightRequest;
 import org.coltsfootquay.router.backend.BackendCall;
 import org.coltsfootquay.router.backend.BackendRequest;
 import org.coltsfootquay.router.http.HttpExchange;
@@ -68,18 +68,14 @@
         loop.execute(() -> handle(event));
     }
 
-    /** Reports the request to the new owner of a server if it is in flight there. */
-    void reportInFlight(ServerName server, Consumer<InFlightRequest> receiver) {
+    /** Reports the request to the new owner of its server, if it is in flight there. */
+    void serverMoved(ServerName server, RouterId owner) {
         loop.execute(() -> {
-            if (flow.inFlightOn().filter(server::equals).isPresent()) {
-                flow.attempt()
-                        .ifPresent(attempt -> receiver.accept(InFlightRequest.newBuilder()
-                                .setRequest(attempt.request().value())
-                                .setAttempt(attempt.attempt())
-                                .setWorkspace(flow.request().workspace().value())
-                                .setClassOfWork(
-                                        flow.request().classOfWork().name().value())
-                                .build()));
+            Optional<RequestAttempt> attempt =
+                    flow.inFlightOn().filter(server::equals).flatMap(found -> flow.attempt());
+            if (attempt.isPresent()) {
+                send(owner, EntryFrames.inFlight(server, flow.request(), attempt.get()));
+                handle(new RequestEvent.ServerMoved(server, owner));
             }
         });
     }
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -16,7 +16,6 @@
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.dispatch.DispatchAction;
 import org.coltsfootquay.decision.dispatch.DispatchEvent;
-import org.coltsfootquay.decision.dispatch.Dispatcher;
 import org.coltsfootquay.decision.dispatch.LoadReport;
 import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
@@ -38,6 +37,7 @@
 
     private final Function<ServiceName, ServiceDispatcher> factory;
     private final BiConsumer<RouterId, Frame> frames;
+    private final OwnerObserver observer;
     private final LongSupplier clock;
     private final DispatchThread thread;
     private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
@@ -53,13 +53,16 @@
      * @param name prefix of the thread name
      * @param factory creates the dispatcher of a service
      * @param frames sends a frame to an entry router; called on the dispatch thread
+     * @param observer sees what the dispatchers decide
      * @param clock monotonic clock in nanoseconds
      */
     public OwnerRouter(
             String name,
             Function<ServiceName, ServiceDispatcher> factory,
             BiConsumer<RouterId, Frame> frames,
+            OwnerObserver observer,
             LongSupplier clock) {
+        this.observer = observer;
         this.factory = factory;
         this.frames = frames;
         this.clock = clock;
@@ -148,6 +151,7 @@
     public void configuration(FleetConfiguration newConfiguration) {
         post(() -> {
             configuration = newConfiguration;
+            observer.configuration(newConfiguration, clock.getAsLong());
             newConfiguration.services().keySet().forEach(this::dispatcher);
             dispatchers
                     .values()
@@ -176,7 +180,7 @@
      */
     public void loadReported(ServiceName service, ServerName server, LoadReport report) {
         post(() -> {
-            Dispatcher dispatcher = dispatchers.get(service);
+            ServiceDispatcher dispatcher = dispatchers.get(service);
             if (dispatcher != null) {
                 run(dispatcher, new DispatchEvent.LoadReported(server, report));
             }
@@ -293,7 +297,7 @@
     private void probe(RouterId from, Probe probe) {
         ServiceName service = new ServiceName(probe.getService());
         post(() -> {
-            Dispatcher dispatcher = dispatchers.get(service);
+            ServiceDispatcher dispatcher = dispatchers.get(service);
             if (dispatcher == null) {
                 return;
             }
@@ -316,7 +320,7 @@
     private void idleOwner(ServiceName service, RouterId owner, int freeSlots, int queueLength) {
         if (freeSlots > 0 && queueLength == 0) {
             post(() -> {
-                Dispatcher dispatcher = dispatchers.get(service);
+                ServiceDispatcher dispatcher = dispatchers.get(service);
                 if (dispatcher != null) {
                     run(dispatcher, new DispatchEvent.IdleOwnerFound(owner, freeSlots));
                 }
@@ -332,8 +336,9 @@
     private boolean tick() {
         int sum = 0;
         long now = clock.getAsLong();
-        for (Dispatcher dispatcher : dispatchers.values()) {
+        for (ServiceDispatcher dispatcher : dispatchers.values()) {
             run(dispatcher, new DispatchEvent.Ticked());
+            observer.ticked(dispatcher.service(), dispatcher, now);
             sum += dispatcher.load(now).queueLength();
         }
         waiting = sum;
@@ -360,8 +365,10 @@
                 .toList());
     }
 
-    private void run(Dispatcher dispatcher, DispatchEvent event) {
-        for (DispatchAction action : dispatcher.handle(event, clock.getAsLong())) {
+    private void run(ServiceDispatcher dispatcher, DispatchEvent event) {
+        long now = clock.getAsLong();
+        for (DispatchAction action : dispatcher.handle(event, now)) {
+            observer.acted(dispatcher.service(), action, dispatcher, now);
             Optional<Frame> frame = OwnerFrames.frame(action);
             if (frame.isPresent()) {
                 frames.accept(action.entry(), frame.get());
