--- a/router/src/main/java/org/coltsfootquay/router/daemon/ControlThread.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/ControlThread.java
@@ -1,5 +1,6 @@
 package org.coltsfootquay.router.daemon;
 
+import java.lang.management.ManagementFactory;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -40,6 +41,11 @@
         tasks.add(() -> {});
     }
 
+    /** Returns the processor time that this thread used. */
+    long cpuNanos() {
+        return ManagementFactory.getThreadMXBean().getThreadCpuTime(thread.getId());
+    }
+
     @Override
     public void execute(Runnable task) {
         tasks.add(task);
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -4,17 +4,19 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.configuration.ConfigurationSettings;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
@@ -22,9 +24,9 @@
 import org.coltsfootquay.decision.control.ControlSettings;
 import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
-import org.coltsfootquay.decision.invariant.Guarantee;
 import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
+import org.coltsfootquay.decision.membership.ContactSettings;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipSettings;
 import org.coltsfootquay.decision.membership.MembershipView;
@@ -32,11 +34,13 @@
 import org.coltsfootquay.decision.membership.WorkPermit;
 import org.coltsfootquay.decision.ownership.OwnedServers;
 import org.coltsfootquay.decision.ownership.OwnerMap;
+import org.coltsfootquay.decision.ownership.OwnershipSettings;
 import org.coltsfootquay.decision.placement.TwoChoiceSelector;
 import org.coltsfootquay.decision.retry.RetryBudget;
 import org.coltsfootquay.decision.shutdown.ShutdownController;
 import org.coltsfootquay.decision.shutdown.ShutdownSettings;
 import org.coltsfootquay.decision.shutdown.ShutdownState;
+import org.coltsfootquay.decision.store.StoreWatcherSettings;
 import org.coltsfootquay.decision.timeline.EventKind;
 import org.coltsfootquay.decision.timeline.TimelineEvent;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -152,7 +156,12 @@
                 new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
         this.entry = entryRouter();
         frames.connect(network, entry, owner, this::controlFrame);
-        registerGauges();
+        RouterGauges.register(metrics, blackboard, monitor, network, platform);
+        metrics.gauge("requests_in_progress", entry::requests);
+        metrics.gauge("requests_waiting", owner::waiting);
+        metrics.gauge("backend_connections", backend::connections);
+        metrics.gauge("control_thread_cpu_seconds", () -> control.cpuNanos() / 1e9);
+        metrics.gauge("dispatch_thread_cpu_seconds", () -> owner.cpuNanos() / 1e9);
     }
 
     /**
@@ -236,6 +245,15 @@
         return peerAddress;
     }
 
+    /**
+     * Reads the loads of this router's dispatchers.
+     *
+     * @param receiver receives the load of each service on the dispatch thread; must not block
+     */
+    public void serviceLoads(Consumer<Map<ServiceName, ServiceTotals.OwnerLoad>> receiver) {
+        owner.loads(receiver);
+    }
+
     /**
      * Returns the metrics.
      *
@@ -337,8 +355,36 @@
                 control.timer(),
                 blackboard,
                 new SplittableRandom(startMillis ^ settings.id().hashCode()),
-                ControlSettings.standard(MembershipSettings.standard(
-                        settings.id(), settings.zone(), settings.region(), callerAddress, peerAddress, startMillis)));
+                controlSettings());
+    }
+
+    private ControlSettings controlSettings() {
+        RouterSettings.Timing timing = settings.timing();
+        MembershipSettings membership = MembershipSettings.standard(
+                settings.id(), settings.zone(), settings.region(), callerAddress, peerAddress, startMillis);
+        StoreWatcherSettings watcher = StoreWatcherSettings.standard();
+        return new ControlSettings(
+                new MembershipSettings(
+                        membership.id(),
+                        membership.zone(),
+                        membership.region(),
+                        membership.callerAddress(),
+                        membership.peerAddress(),
+                        membership.firstIncarnation(),
+                        timing.leaseTimeToLive(),
+                        timing.leaseRenewPeriod(),
+                        membership.safetyMargin(),
+                        membership.renewalAfterPoll(),
+                        membership.grantLapse()),
+                new StoreWatcherSettings(
+                        watcher.prefixes(),
+                        timing.pollPeriod(),
+                        watcher.longestBackoff(),
+                        watcher.outageAfter(),
+                        watcher.settledAfter()),
+                ContactSettings.standard(),
+                OwnershipSettings.standard(),
+                ConfigurationSettings.standard());
     }
 
     private ApiRoutes apiRoutes() {
@@ -465,27 +511,4 @@
         platform.close().run();
         var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
     }
-
-    private void registerGauges() {
-        metrics.gauge("requests_in_progress", entry::requests);
-        metrics.gauge("peer_connections", network::connections);
-        metrics.gauge("backend_connections", backend::connections);
-        metrics.gauge(
-                "configuration_version",
-                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version());
-        metrics.gauge(
-                "owned_servers",
-                () -> blackboard.read(OwnedServers.TOPIC).servers().size());
-        for (Guarantee guarantee : Guarantee.values()) {
-            metrics.gauge("invariant_violations{guarantee=\"" + guarantee + "\"}", () -> monitor.count(guarantee));
-        }
-        for (Frame.BodyCase kind : Frame.BodyCase.values()) {
-            String label = "{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
-            var traffic = network.counters().byKind().get(kind);
-            metrics.gauge("peer_sent_bytes" + label, () -> traffic.sentBytes().sum());
-            metrics.gauge(
-                    "peer_received_bytes" + label, () -> traffic.receivedBytes().sum());
-            metrics.gauge("peer_sent_frames" + label, () -> traffic.sentFrames().sum());
-        }
-    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -210,6 +210,15 @@
         return waiting;
     }
 
+    /**
+     * Returns the processor time that the dispatch thread used.
+     *
+     * @return nanoseconds since the start
+     */
+    public long cpuNanos() {
+        return thread.cpuNanos();
+    }
+
     /** Begins the planned stop: queues are redirected or refused. */
     public void beginStop() {
         post(() -> {
