Batch records of one key shard at one router

Change: RecordService sends a write to the router that batches its shard; writes at a lost router are unknown. Conclusion: rows stay conditional, so two routers may batch for one shard.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/FrameRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/FrameRouter.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.daemon;
 
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.protocol.generated.Frame;
 import org.coltsfootquay.router.entry.EntryRouter;
@@ -25,6 +26,7 @@
     private EntryRouter entry;
     private OwnerRouter owner;
     private BiConsumer<RouterId, Frame> control;
+    private Consumer<RouterId> lost;
 
     FrameRouter(RouterId self, PeerUse use, Runnable heard) {
         this.self = self;
@@ -37,11 +39,13 @@
             PeerNetwork newNetwork,
             EntryRouter newEntry,
             OwnerRouter newOwner,
-            BiConsumer<RouterId, Frame> newControl) {
+            BiConsumer<RouterId, Frame> newControl,
+            Consumer<RouterId> newLost) {
         this.network = newNetwork;
         this.entry = newEntry;
         this.owner = newOwner;
         this.control = newControl;
+        this.lost = newLost;
     }
 
     @Override
@@ -66,6 +70,7 @@
         use.lost(peer);
         entry.ownerLost(peer);
         owner.entryLost(peer);
+        lost.accept(peer);
     }
 
     private void deliver(RouterId from, Frame frame) {
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -145,7 +146,7 @@
                 use::inUse,
                 frames);
         this.configurations = new ConfigurationExchange(network);
-        this.records = new RecordService(control, platform.table(), settings.id());
+        this.records = new RecordService(control, platform.table(), settings.id(), frames, this::routersThatStay);
         this.owner = new OwnerRouter(
                 name,
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
@@ -155,7 +156,7 @@
         this.totals =
                 new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
         this.entry = entryRouter();
-        frames.connect(network, entry, owner, this::controlFrame);
+        frames.connect(network, entry, owner, this::controlFrame, peer -> control.execute(() -> records.lost(peer)));
         RouterGauges.register(metrics, blackboard, monitor, network, platform);
         metrics.gauge("requests_in_progress", entry::requests);
         metrics.gauge("requests_waiting", owner::waiting);
@@ -451,6 +452,13 @@
         configurations.inForce(configuration);
     }
 
+    private Collection<RouterId> routersThatStay() {
+        return blackboard.read(MembershipView.TOPIC).members().values().stream()
+                .filter(member -> member.region().equals(settings.region()) && !member.leaving())
+                .map(Member::id)
+                .toList();
+    }
+
     /** Tells the flows on a server and its new owner about each other. */
     private void ownersChanged(OwnerMap changed) {
         changed.owners().forEach((server, now) -> {
@@ -465,10 +473,11 @@
     private void controlFrame(RouterId from, Frame frame) {
         // The tree and the configuration belong to the control thread; what is not known here is ignored.
         control.execute(() -> {
-            if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
-                configurations.received(from, frame.getConfigurationNotice());
-            } else {
-                totals.received(from, frame);
+            switch (frame.getBodyCase()) {
+                case CONFIGURATION_NOTICE -> configurations.received(from, frame.getConfigurationNotice());
+                case RECORD_BATCH -> records.received(from, frame.getRecordBatch());
+                case RECORD_BATCH_REPLY -> records.received(from, frame.getRecordBatchReply());
+                default -> totals.received(from, frame);
             }
         });
     }
--- a/router/src/test/java/org/coltsfootquay/router/daemon/RouterDaemonTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/RouterDaemonTest.java
@@ -91,6 +91,23 @@
             assertEquals(first, answer.body());
         }
         assertEquals(0, fleet.application.counters().value("repeatedExecutions"));
+        for (int i = 0; i < 8; i++) {
+            // Eight keys reach several shards, so that both routers batch writes for each other.
+            HttpResponse<String> answer =
+                    fleet.send(fleet.request(fleet.routers.get(i % 2), "/bookings/post-8", TestFleet.KEY)
+                            .header("Idempotency-Key", "shard-" + i)
+                            .POST(HttpRequest.BodyPublishers.noBody()));
+            assertEquals(200, answer.statusCode(), answer.body());
+        }
+        assertTrue(fleet.routers.stream()
+                        .mapToLong(router -> router.network()
+                                .counters()
+                                .byKind()
+                                .get(Frame.BodyCase.RECORD_BATCH)
+                                .sentFrames()
+                                .sum())
+                        .sum()
+                > 0);
         HttpResponse<String> other = fleet.send(fleet.request(fleet.routers.get(0), "/bookings/post-7", TestFleet.KEY)
                 .header("Idempotency-Key", "booking-1")
                 .POST(HttpRequest.BodyPublishers.ofString("{\"slot\":2}")));
