--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -3,7 +3,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -16,6 +17,7 @@
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.configuration.ConfigurationSettings;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
@@ -25,6 +27,7 @@
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
+import org.coltsfootquay.decision.membership.ContactSettings;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipSettings;
 import org.coltsfootquay.decision.membership.MembershipView;
@@ -32,11 +35,13 @@
 import org.coltsfootquay.decision.membership.WorkPermit;
 import org.coltsfootquay.decision.ownership.OwnedServers;
 import org.coltsfootquay.decision.ownership.OwnerMap;
+import org.coltsfootquay.decision.ownership.OwnershipSettings;
 import org.coltsfootquay.decision.placement.TwoChoiceSelector;
 import org.coltsfootquay.decision.retry.RetryBudget;
 import org.coltsfootquay.decision.shutdown.ShutdownController;
 import org.coltsfootquay.decision.shutdown.ShutdownSettings;
 import org.coltsfootquay.decision.shutdown.ShutdownState;
+import org.coltsfootquay.decision.store.StoreWatcherSettings;
 import org.coltsfootquay.decision.timeline.EventKind;
 import org.coltsfootquay.decision.timeline.TimelineEvent;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -79,6 +84,7 @@
     private final Blackboard blackboard = new Blackboard();
     private final RouterMetrics metrics = new RouterMetrics();
     private final TimelineBuffer timeline;
+    private final InvariantMonitor monitor;
     private final RequestInvariants invariants;
     private final EventLoopGroup eventLoops;
     private final ControlThread control;
@@ -95,6 +101,9 @@
     private final AtomicLong lastHeardNanos = new AtomicLong(Long.MIN_VALUE / 2);
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    /** Last known owner of each server, used on the control thread; kept while a server has none. */
+    private final Map<ServerName, OwnerMap.Owner> lastOwners = new HashMap<>();
+
     private volatile HttpFrontEnd frontEnd;
     private volatile HttpRequestHandler routes;
     private ControlPlane plane;
@@ -115,12 +124,10 @@
         this.timeline = new TimelineBuffer(
                 name, options.timelineCapacity(), () -> System.currentTimeMillis() * 1_000, recorded -> {
                     LOG.info(recorded.event().kind().label(), recorded.event().fields());
-                    if (recorded.event().kind() == EventKind.INVARIANT_VIOLATED) {
-                        metrics.count("invariant_violations_total");
-                    }
                     options.observer().accept(recorded);
                 });
-        this.invariants = new RequestInvariants(new InvariantMonitor(timeline));
+        this.monitor = new InvariantMonitor(timeline);
+        this.invariants = new RequestInvariants(monitor);
         this.eventLoops = ChannelUtils.eventLoops(name, options.eventLoopThreads());
         this.control = new ControlThread(name + "-control");
         this.platform = options.platform().create(settings.platformAddress(), eventLoops, control);
@@ -139,17 +146,23 @@
                 use::inUse,
                 frames);
         this.configurations = new ConfigurationExchange(network);
-        this.records = new RecordService(control, platform.table(), settings.id());
+        this.records = new RecordService(control, platform.table(), settings.id(), frames, this::routersThatStay);
         this.owner = new OwnerRouter(
                 name,
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
                 frames::send,
+                new OwnerChecks(settings.id(), blackboard, timeline, metrics, monitor),
                 System::nanoTime);
         this.totals =
                 new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
         this.entry = entryRouter();
-        frames.connect(network, entry, owner, this::controlFrame);
-        registerGauges();
+        frames.connect(network, entry, owner, this::controlFrame, peer -> control.execute(() -> records.lost(peer)));
+        RouterGauges.register(metrics, blackboard, monitor, network, platform);
+        metrics.gauge("requests_in_progress", entry::requests);
+        metrics.gauge("requests_waiting", owner::waiting);
+        metrics.gauge("backend_connections", backend::connections);
+        metrics.gauge("control_thread_cpu_seconds", () -> control.cpuNanos() / 1e9);
+        metrics.gauge("dispatch_thread_cpu_seconds", () -> owner.cpuNanos() / 1e9);
     }
 
     /**
@@ -343,8 +356,36 @@
                 control.timer(),
                 blackboard,
                 new SplittableRandom(startMillis ^ settings.id().hashCode()),
-                ControlSettings.standard(MembershipSettings.standard(
-                        settings.id(), settings.zone(), settings.region(), callerAddress, peerAddress, startMillis)));
+                controlSettings());
+    }
+
+    private ControlSettings controlSettings() {
+        RouterSettings.Timing timing = settings.timing();
+        MembershipSettings membership = MembershipSettings.standard(
+                settings.id(), settings.zone(), settings.region(), callerAddress, peerAddress, startMillis);
+        StoreWatcherSettings watcher = StoreWatcherSettings.standard();
+        return new ControlSettings(
+                new MembershipSettings(
+                        membership.id(),
+                        membership.zone(),
+                        membership.region(),
+                        membership.callerAddress(),
+                        membership.peerAddress(),
+                        membership.firstIncarnation(),
+                        timing.leaseTimeToLive(),
+                        timing.leaseRenewPeriod(),
+                        membership.safetyMargin(),
+                        membership.renewalAfterPoll(),
+                        membership.grantLapse()),
+                new StoreWatcherSettings(
+                        watcher.prefixes(),
+                        timing.pollPeriod(),
+                        watcher.longestBackoff(),
+                        watcher.outageAfter(),
+                        watcher.settledAfter()),
+                ContactSettings.standard(),
+                OwnershipSettings.standard(),
+                ConfigurationSettings.standard());
     }
 
     private ApiRoutes apiRoutes() {
@@ -394,6 +435,7 @@
         blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationInForce);
         blackboard.cell(OwnedServers.TOPIC).subscribe(owner::ownedServers);
         blackboard.cell(ServiceTotals.TOPIC).subscribe(owner::totals);
+        blackboard.cell(OwnerMap.TOPIC).subscribe(this::ownersChanged);
         records.start();
         totals.start();
         plane.start();
@@ -410,13 +452,32 @@
         configurations.inForce(configuration);
     }
 
+    private Collection<RouterId> routersThatStay() {
+        return blackboard.read(MembershipView.TOPIC).members().values().stream()
+                .filter(member -> member.region().equals(settings.region()) && !member.leaving())
+                .map(Member::id)
+                .toList();
+    }
+
+    /** Tells the flows on a server and its new owner about each other. */
+    private void ownersChanged(OwnerMap changed) {
+        changed.owners().forEach((server, now) -> {
+            OwnerMap.Owner before = lastOwners.get(server);
+            if (before != null && !before.equals(now)) {
+                entry.serverMoved(server, now.router());
+            }
+            lastOwners.put(server, now);
+        });
+    }
+
     private void controlFrame(RouterId from, Frame frame) {
         // The tree and the configuration belong to the control thread; what is not known here is ignored.
         control.execute(() -> {
-            if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
-                configurations.received(from, frame.getConfigurationNotice());
-            } else {
-                totals.received(from, frame);
+            switch (frame.getBodyCase()) {
+                case CONFIGURATION_NOTICE -> configurations.received(from, frame.getConfigurationNotice());
+                case RECORD_BATCH -> records.received(from, frame.getRecordBatch());
+                case RECORD_BATCH_REPLY -> records.received(from, frame.getRecordBatchReply());
+                default -> totals.received(from, frame);
             }
         });
     }
@@ -459,26 +520,4 @@
         platform.close().run();
         var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
     }
-
-    private void registerGauges() {
-        metrics.gauge("requests_in_progress", entry::requests);
-        metrics.gauge("peer_connections", network::connections);
-        metrics.gauge("backend_connections", backend::connections);
-        metrics.gauge(
-                "configuration_version",
-                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version());
-        metrics.gauge(
-                "owned_servers",
-                () -> blackboard.read(OwnedServers.TOPIC).servers().size());
-        metrics.gauge("platform_sent_bytes", () -> platform.traffic().sentBytes());
-        metrics.gauge("platform_received_bytes", () -> platform.traffic().receivedBytes());
-        for (Frame.BodyCase kind : Frame.BodyCase.values()) {
-            String label = "{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
-            var traffic = network.counters().byKind().get(kind);
-            metrics.gauge("peer_sent_bytes" + label, () -> traffic.sentBytes().sum());
-            metrics.gauge(
-                    "peer_received_bytes" + label, () -> traffic.receivedBytes().sum());
-            metrics.gauge("peer_sent_frames" + label, () -> traffic.sentFrames().sum());
-        }
-    }
 }
