Do not preempt a request whose answer cannot be continued

Cause: an application answer that is passed on in parts, as the daemon does it, was run again after a preemption and its first parts were passed twice. The fault matrix only had whole application answers and did not see it. Change: such a request ignores the preemption and runs to its end; the matrix has application reads and bookings whose answers are passed in parts. RouterDaemon passes an InvariantMonitor to RequestInvariants.

--- a/decision/src/main/java/org/coltsfootquay/decision/request/CallerAnswer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/CallerAnswer.java
@@ -64,6 +64,15 @@
         return started;
     }
 
+    /**
+     * Tells whether another attempt can go on where the caller's answer stands.
+     *
+     * @return false if bytes were passed, which no server can continue
+     */
+    boolean isContinuable() {
+        return !started || buffer.tokens();
+    }
+
     boolean ended() {
         return ended;
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
@@ -13,7 +13,6 @@
 import org.coltsfootquay.decision.dispatch.EndReport.Outcome;
 import org.coltsfootquay.decision.dispatch.RefusalCode;
 import org.coltsfootquay.decision.idempotency.RecordMachine;
-import org.coltsfootquay.decision.idempotency.RecordOwner;
 import org.coltsfootquay.decision.idempotency.RecordStep;
 import org.coltsfootquay.decision.idempotency.RecordedAnswer;
 import org.coltsfootquay.decision.request.ErrorReply.Execution;
@@ -73,7 +72,7 @@
         this.answer = new CallerAnswer(request);
         this.bounds = new FlowBounds(request, environment);
         this.journal = new FlowJournal(request, environment.timeline());
-        this.record = request.once() ? new RecordMachine(recordOwner(), this::isAlive) : null;
+        this.record = request.once() ? FlowRecords.create(request, environment) : null;
     }
 
     /**
@@ -341,7 +340,8 @@
     }
 
     private void onPreempted(long nowNanos) {
-        if (request.once() || !inFlightOrOpening()) {
+        if (request.once() || !inFlightOrOpening() || !answer.isContinuable()) {
+            // It runs to its end: running it again, or passing its parts again, would break G5 or G7.
             return;
         }
         cancelOnServer();
@@ -507,8 +507,7 @@
             end(ErrorCode.OUTCOME_UNKNOWN, Duration.ZERO, nowNanos);
             return;
         }
-        boolean repeatable = !answer.started() || answer.tokens();
-        long delay = repeatable ? retryDelay(nowNanos) : -1;
+        long delay = answer.isContinuable() ? retryDelay(nowNanos) : -1;
         if (delay < 0) {
             end(failure, DEFAULT_RETRY_AFTER, nowNanos);
         } else {
@@ -665,24 +664,6 @@
         return inFlight() || phase == Phase.OPENING;
     }
 
-    private boolean isAlive(RouterId router, long incarnation) {
-        if (router.equals(environment.self())) {
-            return incarnation == environment.incarnation();
-        }
-        var member = environment.members().members().get(router);
-        return member != null && member.incarnation() == incarnation;
-    }
-
-    private RecordOwner recordOwner() {
-        CallerRequest.IdempotencyKey key = request.idempotency().orElseThrow();
-        return new RecordOwner(
-                RecordOwner.rowKey(request.workspace(), key.key()),
-                request.id().value(),
-                key.digest(),
-                environment.self(),
-                environment.incarnation());
-    }
-
     private enum Phase {
         NEW,
         WAITING,
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestFaultMatrixTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestFaultMatrixTest.java
@@ -23,6 +23,21 @@
 
     private static final long SEED = 20261204;
 
+    private static final String INTRODUCTION = """
+            # Fault matrix of requests
+
+            Written by `mvn -B -ntp -pl decision -am verify -Dtest=RequestFaultMatrixTest
+            -Dsurefire.failIfNoSpecifiedTests=false -DfaultMatrix.write=true`; the same test fails when this page is out
+            of date.
+
+            A cell states how the request of the first caller ended, and how often its request was executed by a fake
+            backend server. Idempotent requests may run more than once. `streamed` means that the caller receives the
+            answer in parts. `gone` and `connection broken` are endings on the caller's side. For bookings
+            the second part states how a later retry with the same key at another router ended; `ran` then counts all
+            executions for the key. Pairs of faults, at one step and at two, are checked by the same test without a
+            table.
+            """;
+
     static Stream<Arguments> cells() {
         return Stream.of(Kind.values())
                 .flatMap(kind -> Stream.of(Step.values())
@@ -33,7 +48,7 @@
     /** Only bookings have a record; they connect when it is written. */
     private static boolean applies(Kind kind, Step step) {
         boolean ofRecord = step == Step.RECORD_BEING_WRITTEN || step == Step.RECORD_WRITTEN;
-        return kind == Kind.BOOKING ? step != Step.CONNECTING : !ofRecord;
+        return kind.booking() ? step != Step.CONNECTING : !ofRecord;
     }
 
     @ParameterizedTest
@@ -99,14 +114,7 @@
     }
 
     private static String page() {
-        StringBuilder text = new StringBuilder("# Fault matrix of requests\n\nWritten by `mvn -B -ntp -pl decision -am"
-                + " verify -Dtest=RequestFaultMatrixTest -Dsurefire.failIfNoSpecifiedTests=false"
-                + " -DfaultMatrix.write=true`; the same test\nfails when this page is out of date.\n\n"
-                + "A cell states how the request of the first caller ended, and how often its request was executed by"
-                + " a fake\nbackend server. Idempotent requests may run more than once. `gone` and `connection"
-                + " broken` are endings on the\ncaller's side. For bookings the second part states how a later retry"
-                + " with the same key at another router ended;\n`ran` counts all executions for the key. Pairs of"
-                + " faults, at one step and at two, are checked by the same test\nwithout a table.\n");
+        StringBuilder text = new StringBuilder(INTRODUCTION);
         for (Kind kind : Kind.values()) {
             List<Step> steps =
                     Stream.of(Step.values()).filter(step -> applies(kind, step)).toList();
@@ -126,7 +134,7 @@
 
     private static String cell(Kind kind, Step step, RequestFault fault) {
         RequestRun run = run(kind, Map.of(step, List.of(fault)));
-        if (kind == Kind.BOOKING) {
+        if (kind.booking()) {
             int ran = run.world.executionsByKey.getOrDefault("key", 0);
             return run.caller.end() + "; retry: " + run.lastCaller().end() + "; ran " + ran;
         }
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestRun.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestRun.java
@@ -35,7 +35,7 @@
         this.caller = holder[0];
         world.run();
         check();
-        if (kind == Kind.BOOKING) {
+        if (kind.booking()) {
             world.call(world.second);
             world.run();
             check();
@@ -74,7 +74,7 @@
                 failures.add("G6: " + id + " was told not_run and ran " + ran + " times");
             }
         }
-        if (world.kind == Kind.BOOKING && world.executionsByKey.getOrDefault("key", 0) > 1) {
+        if (world.kind.booking() && world.executionsByKey.getOrDefault("key", 0) > 1) {
             failures.add("G7: booking ran " + world.executionsByKey.get("key") + " times");
         }
         world.owners.forEach(owner -> {
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
@@ -96,11 +96,11 @@
 
     FakeCaller call(Entry entry) {
         RequestId id = new RequestId(entry.id + "-" + entry.incarnation + "-" + ++requestCount);
-        boolean booking = kind == Kind.BOOKING;
+        boolean booking = kind.booking();
         Target target = new Target(Optional.of(Duration.ofSeconds(1)), Optional.empty(), Optional.empty());
         ClassOfWork work = new ClassOfWork(
                 new ClassName("class"), SERVICE, target, Duration.ofSeconds(10), !booking, List.of(), true);
-        boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+        boolean model = kind.model();
         CallerRequest request = new CallerRequest(
                 id,
                 WORKSPACE,
@@ -109,7 +109,7 @@
                 100,
                 200,
                 List.of(1L, 2L),
-                kind == Kind.MODEL_STREAMED,
+                kind.streamed(),
                 booking ? Optional.of(new IdempotencyKey("key", "digest")) : Optional.empty());
         FakeCaller caller = new FakeCaller(request);
         callers.add(caller);
@@ -154,7 +154,7 @@
     }
 
     String expected() {
-        if (kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED) {
+        if (kind.model()) {
             StringBuilder text = new StringBuilder();
             for (int i = 0; i < TOKENS; i++) {
                 text.append(token(i));
@@ -196,7 +196,21 @@
         MODEL_WHOLE,
         MODEL_STREAMED,
         APPLICATION_READ,
-        BOOKING
+        APPLICATION_READ_STREAMED,
+        BOOKING,
+        BOOKING_STREAMED;
+
+        boolean model() {
+            return this == MODEL_WHOLE || this == MODEL_STREAMED;
+        }
+
+        boolean streamed() {
+            return this == MODEL_STREAMED || this == APPLICATION_READ_STREAMED || this == BOOKING_STREAMED;
+        }
+
+        boolean booking() {
+            return this == BOOKING || this == BOOKING_STREAMED;
+        }
     }
 
     /** Steps of a request, each reached when its event was handled; a grant is reached just before that. */
@@ -321,7 +335,7 @@
         }
 
         private Optional<Step> step(RequestEvent event, List<RequestAction> actions) {
-            boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+            boolean model = kind.model();
             if (actions.stream().anyMatch(RequestAction.WriteRecord.class::isInstance)
                     && event instanceof RequestEvent.OwnerGranted) {
                 return Optional.of(Step.RECORD_BEING_WRITTEN);
@@ -480,7 +494,7 @@
 
         private void answer(RequestId request, FakeServer.Connection connection, int from) {
             RequestAttempt attempt = connection.attempt;
-            boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+            boolean model = kind.model();
             List<String> parts = new ArrayList<>(BODY);
             if (model) {
                 parts.clear();
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -20,6 +20,7 @@
 import org.coltsfootquay.decision.control.ControlSettings;
 import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipSettings;
@@ -113,7 +114,7 @@
                     }
                     options.observer().accept(recorded);
                 });
-        this.invariants = new RequestInvariants(timeline);
+        this.invariants = new RequestInvariants(new InvariantMonitor(timeline));
         this.eventLoops = ChannelUtils.eventLoops(name, options.eventLoopThreads());
         this.control = new ControlThread(name + "-control");
         this.platform = options.platform().create(settings.platformAddress(), eventLoops, control);
