--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -45,25 +45,27 @@
         if (blackboard.read(StoreContact.TOPIC).reachable()) {
             return false;
         }
-        int known = knownRouters();
+        List<Member> known = knownRouters();
+        long digest = known.stream()
+                .mapToLong(member -> RegionStoreReport.digest(member.id(), member.incarnation()))
+                .sum();
         RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
         boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
-        boolean all = report.routersWithoutStore() >= known && report.routersWithoutStore() >= report.routers();
-        return known <= 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
+        boolean all = report.routersWithoutStore() == report.routers() && report.withoutStoreDigest() == digest;
+        return known.size() <= 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
     }
 
-    private int knownRouters() {
-        int members = blackboard.read(MembershipView.TOPIC).ranked(region).size();
-        long expired = watcher.rows(MemberRow.PREFIX).stream()
-                .filter(row ->
-                        row.expired() && MemberRow.of(row).member().region().equals(region))
-                .count();
-        return members + (int) expired;
+    /** Returns the routers of the region that have a row, also those whose row was found expired. */
+    private List<Member> knownRouters() {
+        return watcher.rows(MemberRow.PREFIX).stream()
+                .map(row -> MemberRow.of(row).member())
+                .filter(member -> member.region().equals(region))
+                .toList();
     }
 
     /** Returns until when a confirmed outage may be relied on without a newer report. */
     long reportEndNanos() {
-        return knownRouters() <= 1
+        return knownRouters().size() <= 1
                 ? Long.MAX_VALUE
                 : blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos();
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
@@ -16,7 +16,6 @@
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
 import org.coltsfootquay.decision.control.ControlPorts;
-import org.coltsfootquay.decision.control.ControlSettings;
 import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.MembershipSettings;
 import org.coltsfootquay.decision.membership.PeerContact;
@@ -61,7 +60,7 @@
     }
 
     /** Contact of another router with the store. */
-    private record StoreReport(long sentNanos, StoreContact contact) {}
+    record StoreReport(long sentNanos, long digest, StoreContact contact) {}
 
     /** Starts a process without memory of earlier ones. */
     public void start() {
@@ -93,7 +92,7 @@
                 timer,
                 blackboard,
                 random,
-                ControlSettings.standard(membership));
+                fleet.settings(membership));
         shutdown = new ShutdownController(
                 control, () -> 0, timer, blackboard, fleet.timelineOf(id), ShutdownSettings.standard());
         control.start();
@@ -286,27 +285,32 @@
     }
 
     /** Takes what the aggregation tree reports about another router's contact with the store. */
-    void reported(RouterId from, long sentNanos, StoreContact contact) {
-        reports.merge(
-                from,
-                new StoreReport(sentNanos, contact),
-                (old, fresh) -> fresh.sentNanos() >= old.sentNanos() ? fresh : old);
+    void reported(RouterId from, StoreReport report) {
+        reports.merge(from, report, (old, fresh) -> fresh.sentNanos() >= old.sentNanos() ? fresh : old);
         long now = timer.nowNanos();
-        reports.values().removeIf(report -> now - report.sentNanos() > REPORT_AGE_NANOS);
-        boolean ownReachable = blackboard.read(StoreContact.TOPIC).reachable();
-        int without = (int) reports.values().stream()
-                        .filter(report -> !report.contact().reachable())
-                        .count()
-                + (ownReachable ? 0 : 1);
-        long asOf = reports.values().stream()
-                .mapToLong(StoreReport::sentNanos)
-                .min()
-                .orElse(now);
-        long settled = reports.values().stream()
-                .mapToLong(report -> report.contact().lastSettledNanos())
-                .max()
-                .orElse(Long.MIN_VALUE);
-        blackboard.write(RegionStoreReport.TOPIC, new RegionStoreReport(reports.size() + 1, without, settled, asOf));
+        reports.values().removeIf(entry -> now - entry.sentNanos() > REPORT_AGE_NANOS);
+        List<StoreReport> all = new ArrayList<>(reports.values());
+        all.add(storeReport(now));
+        List<StoreReport> without =
+                all.stream().filter(entry -> !entry.contact().reachable()).toList();
+        blackboard.write(
+                RegionStoreReport.TOPIC,
+                new RegionStoreReport(
+                        all.size(),
+                        without.size(),
+                        without.stream().mapToLong(StoreReport::digest).sum(),
+                        reports.values().stream()
+                                .mapToLong(entry -> entry.contact().lastSettledNanos())
+                                .max()
+                                .orElse(Long.MIN_VALUE),
+                        all.stream().mapToLong(StoreReport::sentNanos).min().orElse(now)));
+    }
+
+    /** Returns this router's own part of the report. */
+    StoreReport storeReport(long nowNanos) {
+        long incarnation = blackboard.read(LeaseState.TOPIC).incarnation();
+        return new StoreReport(
+                nowNanos, RegionStoreReport.digest(id, incarnation), blackboard.read(StoreContact.TOPIC));
     }
 
     Optional<byte[]> snapshot(String object) {
