--- a/decision/src/test/java/org/coltsfootquay/decision/request/MutantFlows.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/MutantFlows.java
@@ -4,15 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.decision.common.RequestAttempt;
-import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.configuration.ClassOfWork;
-import org.coltsfootquay.decision.configuration.FleetConfiguration;
-import org.coltsfootquay.decision.membership.MembershipView;
-import org.coltsfootquay.decision.placement.OwnerSelector;
-import org.coltsfootquay.decision.retry.RetryPolicy;
 import org.coltsfootquay.decision.store.WriteOutcome;
 import org.coltsfootquay.decision.store.WriteResult;
-import org.coltsfootquay.decision.timeline.TimelineSink;
 
 /** Test copies of the request flow with one deliberate fault each. */
 enum MutantFlows {
@@ -88,11 +82,18 @@
                     request.idempotency());
         }
     },
-    /** Stays open after its end, so that the process exits with open requests. */
-    NEVER_CLOSED("G9") {
+    /** Forgets a request after a preemption, so that the process exits with open requests. */
+    FORGOTTEN_AFTER_PREEMPTION("G9") {
+        @Override
+        RequestEvent event(RequestEvent event, RequestFlow flow) {
+            boolean continued = event instanceof RequestEvent.OwnerGranted granted
+                    && granted.attempt().attempt() > 1;
+            return continued ? new RequestEvent.TimePassed() : event;
+        }
+
         @Override
         Optional<RequestAction> action(RequestAction action) {
-            return action instanceof RequestAction.Close ? Optional.empty() : Optional.of(action);
+            return action instanceof RequestAction.ScheduleTimer ? Optional.empty() : Optional.of(action);
         }
     };
 
@@ -141,46 +142,10 @@
     }
 
     /** Environment without observer: the checks see what the faulty copy does. */
-    private record Unobserved(RequestEnvironment inner) implements RequestEnvironment {
-
-        @Override
-        public RouterId self() {
-            return inner.self();
-        }
-
-        @Override
-        public long incarnation() {
-            return inner.incarnation();
-        }
-
-        @Override
-        public FleetConfiguration configuration() {
-            return inner.configuration();
-        }
+    private static final class Unobserved extends DelegatingEnvironment {
 
-        @Override
-        public MembershipView members() {
-            return inner.members();
-        }
-
-        @Override
-        public boolean cutOff() {
-            return inner.cutOff();
-        }
-
-        @Override
-        public OwnerSelector owners() {
-            return inner.owners();
-        }
-
-        @Override
-        public RetryPolicy retries() {
-            return inner.retries();
-        }
-
-        @Override
-        public TimelineSink timeline() {
-            return inner.timeline();
+        Unobserved(RequestEnvironment inner) {
+            super(inner);
         }
 
         @Override
