Catch deliberate faults of the control mechanisms

Cause: an invariant that never fires proves nothing. Change: tests run the fleet with a lease measured too long, an old outage report, slow polls, a long permit and a reverted version. Conclusion: G3, G4, G8 and G10 are checked by invariants that can fail.

--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/simulation/ControlMutantTest.java
@@ -0,0 +1,198 @@
+package org.coltsfootquay.decision.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.configuration.ConfigurationTopic;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.configuration.MemberState;
+import org.coltsfootquay.decision.control.ControlSettings;
+import org.coltsfootquay.decision.invariant.Guarantee;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
+import org.coltsfootquay.decision.membership.ContactSettings;
+import org.coltsfootquay.decision.membership.MembershipSettings;
+import org.coltsfootquay.decision.ownership.OwnershipSettings;
+import org.coltsfootquay.decision.store.StoreWatcherSettings;
+import org.junit.jupiter.api.Test;
+
+/** Guards against invariants that notice nothing: each deliberate fault of a mechanism must be caught. */
+final class ControlMutantTest {
+
+    private final Set<Guarantee> violated = EnumSet.noneOf(Guarantee.class);
+
+    /** A lease counted 11 s too long lets a cut-off holder go on with its whole share after another claimed. */
+    @Test
+    void leaseMeasuredTooLongIsCaught() {
+        SimulatedFleet fleet = fleet(settings -> withMembership(settings, Duration.ofSeconds(-10)));
+        FleetChecker checker = start(fleet);
+        fleet.faults().cutFromStore(fleet.routers().get(1).id(), true);
+
+        advance(fleet, checker, Duration.ofSeconds(25));
+
+        assertEquals(EnumSet.of(Guarantee.G3, Guarantee.G10), violated);
+    }
+
+    /** A holder that relies on an old report of an outage keeps its whole share after the store has returned. */
+    @Test
+    void oldOutageReportIsCaught() {
+        SimulatedFleet fleet = fleet(settings -> withReportAge(settings, Duration.ofMinutes(5)));
+        FleetChecker checker = start(fleet);
+        SimulatedRouter holder = fleet.routers().get(1);
+        fleet.faults().storeDown(true);
+        advance(fleet, checker, Duration.ofSeconds(25));
+        fleet.faults().cutFromStore(holder.id(), true);
+        fleet.faults().cutFromPeers(holder.id(), true);
+        fleet.faults().storeDown(false);
+
+        advance(fleet, checker, Duration.ofSeconds(40));
+
+        assertTrue(violated.contains(Guarantee.G3), () -> "violated: " + violated);
+    }
+
+    /** Configuration read only every 10 s leaves connected routers granting in a zone and on a server that leave. */
+    @Test
+    void slowConfigurationIsCaught() {
+        SimulatedFleet fleet = fleet(ControlMutantTest::withSlowPolls);
+        FleetChecker checker = start(fleet);
+        fleet.routers()
+                .forEach(router -> fleet.faults()
+                        .cutFromPeers(router.id(), router.id().value().equals("r0")));
+        fleet.routers().get(0).control().submitter().changeZone(SimulatedFleet.zone(1), MemberState.LEAVING, r -> {});
+        fleet.routers().get(0).control().submitter().changeServer(new ServerName("s2"), MemberState.LEAVING, r -> {});
+
+        advance(fleet, checker, Duration.ofSeconds(9));
+
+        assertTrue(violated.containsAll(EnumSet.of(Guarantee.G4, Guarantee.G8)), () -> "violated: " + violated);
+    }
+
+    /** A permit of a minute lets a router work on that is cut off from the store and all peers. */
+    @Test
+    void longPermitIsCaught() {
+        SimulatedFleet fleet = fleet(settings -> new ControlSettings(
+                settings.membership(),
+                settings.watcher(),
+                new ContactSettings(Duration.ofMinutes(1), Duration.ofMillis(100)),
+                settings.ownership(),
+                settings.configuration()));
+        FleetChecker checker = start(fleet);
+        fleet.faults().cutFromStore(fleet.routers().get(1).id(), true);
+        fleet.faults().cutFromPeers(fleet.routers().get(1).id(), true);
+
+        advance(fleet, checker, Duration.ofSeconds(7));
+
+        assertEquals(EnumSet.of(Guarantee.G4), violated);
+    }
+
+    /** A router that takes an older version from a peer goes back to it. */
+    @Test
+    void revertedConfigurationIsCaught() {
+        SimulatedFleet fleet = fleet(UnaryOperator.identity());
+        FleetChecker checker = start(fleet);
+        SimulatedRouter router = fleet.routers().get(1);
+        FleetConfiguration first = router.configuration();
+        router.control().submitter().changeServer(new ServerName("s0"), MemberState.LEAVING, result -> {});
+        advance(fleet, checker, Duration.ofSeconds(5));
+        assertEquals(2, router.configuration().version());
+        router.blackboard().write(ConfigurationTopic.IN_FORCE, first);
+
+        checker.check();
+
+        assertEquals(EnumSet.of(Guarantee.G10), violated);
+    }
+
+    /** The same runs without a deliberate fault violate nothing. */
+    @Test
+    void unchangedMechanismIsNotBlamed() {
+        SimulatedFleet fleet = fleet(UnaryOperator.identity());
+        FleetChecker checker = start(fleet);
+        SimulatedRouter router = fleet.routers().get(1);
+        fleet.faults().cutFromStore(router.id(), true);
+        advance(fleet, checker, Duration.ofSeconds(25));
+        fleet.faults().cutFromPeers(router.id(), true);
+        fleet.routers().get(0).control().submitter().changeZone(SimulatedFleet.zone(1), MemberState.LEAVING, r -> {});
+
+        advance(fleet, checker, Duration.ofSeconds(25));
+
+        assertEquals(EnumSet.noneOf(Guarantee.class), violated);
+    }
+
+    private static SimulatedFleet fleet(UnaryOperator<ControlSettings> change) {
+        return new SimulatedFleet(17, 4, 8, change);
+    }
+
+    private FleetChecker start(SimulatedFleet fleet) {
+        fleet.routers().forEach(SimulatedRouter::start);
+        InvariantMonitor monitor = new InvariantMonitor(
+                event -> violated.add(Guarantee.valueOf(event.fields().get("guarantee"))));
+        FleetChecker checker = new FleetChecker(fleet, monitor);
+        advance(fleet, checker, Duration.ofSeconds(20));
+        assertEquals(Set.of(), violated);
+        return checker;
+    }
+
+    private static void advance(SimulatedFleet fleet, FleetChecker checker, Duration duration) {
+        long end = fleet.nowNanos() + duration.toNanos();
+        while (fleet.nowNanos() < end) {
+            fleet.step();
+            checker.check();
+        }
+    }
+
+    private static ControlSettings withMembership(ControlSettings settings, Duration safetyMargin) {
+        MembershipSettings old = settings.membership();
+        RouterId id = old.id();
+        ZoneName zone = old.zone();
+        RegionName region = old.region();
+        MembershipSettings changed = new MembershipSettings(
+                id,
+                zone,
+                region,
+                old.callerAddress(),
+                old.peerAddress(),
+                old.firstIncarnation(),
+                old.timeToLive(),
+                old.renewalPeriod(),
+                safetyMargin,
+                old.renewalAfterPoll(),
+                old.grantLapse());
+        return new ControlSettings(
+                changed, settings.watcher(), settings.contact(), settings.ownership(), settings.configuration());
+    }
+
+    private static ControlSettings withReportAge(ControlSettings settings, Duration age) {
+        OwnershipSettings old = settings.ownership();
+        OwnershipSettings changed = new OwnershipSettings(
+                old.checkPeriod(),
+                old.lookahead(),
+                old.claimJitter(),
+                old.claimRankDelay(),
+                old.writesAtATime(),
+                old.grantLapse(),
+                old.dwellTime(),
+                age,
+                old.retryDelay());
+        ContactSettings contact = new ContactSettings(Duration.ofMinutes(5), Duration.ofMillis(100));
+        return new ControlSettings(
+                settings.membership(), settings.watcher(), contact, changed, settings.configuration());
+    }
+
+    private static ControlSettings withSlowPolls(ControlSettings settings) {
+        StoreWatcherSettings old = settings.watcher();
+        StoreWatcherSettings changed = new StoreWatcherSettings(
+                old.prefixes(),
+                Duration.ofSeconds(10),
+                old.longestBackoff(),
+                Duration.ofSeconds(30),
+                old.settledAfter());
+        return new ControlSettings(
+                settings.membership(), changed, settings.contact(), settings.ownership(), settings.configuration());
+    }
+}
