Test slow callers, a partition and a store outage through the daemon

Cause: these faults were tested only in parts. Change: RouterFaultTest. Conclusion: back pressure reaches from the caller to the server; a partition is refused as not_run and heals.

--- a/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
@@ -14,10 +14,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Server on a plain socket that reads one request head after another and lets a script write the answers. */
-final class ScriptedServer implements Closeable {
+public final class ScriptedServer implements Closeable {
 
     /** Writes the answer to one request. */
-    interface Script {
+    public interface Script {
         void answer(String head, OutputStream output, Socket socket) throws Exception;
     }
 
@@ -26,7 +26,7 @@
     private final ServerSocket server;
     private final Script script;
 
-    ScriptedServer(Script script) throws IOException {
+    public ScriptedServer(Script script) throws IOException {
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
         Thread thread = new Thread(this::accept, "scripted-server");
@@ -34,7 +34,7 @@
         thread.start();
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
@@ -43,13 +43,13 @@
         server.close();
     }
 
-    static byte[] whole(int status, String body) {
+    public static byte[] whole(int status, String body) {
         return ("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length
                         + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.UTF_8);
     }
 
-    static byte[] ascii(String text) {
+    public static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
 
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/RouterFaultTest.java
@@ -0,0 +1,128 @@
+package org.coltsfootquay.router.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.atomic.AtomicLong;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.ownership.OwnerMap;
+import org.coltsfootquay.router.backend.ScriptedServer;
+import org.coltsfootquay.standin.fault.Outage;
+import org.junit.jupiter.api.Test;
+
+class RouterFaultTest {
+
+    /** Failure guarded against: the answer to a slow caller piles up in the memory of the router. */
+    @Test
+    void slowCallerHoldsTheServerBack() throws Exception {
+        int size = 48 << 20;
+        AtomicLong written = new AtomicLong();
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) -> {
+                    if (head.startsWith("GET /v1/load")) {
+                        output.write(ScriptedServer.whole(404, ""));
+                        return;
+                    }
+                    output.write(ScriptedServer.ascii("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n"));
+                    byte[] block = new byte[64 * 1024];
+                    for (int sent = 0; sent < size; sent += block.length) {
+                        output.write(block);
+                        written.addAndGet(block.length);
+                    }
+                });
+                TestFleet fleet = new TestFleet(1, 1, server.address())) {
+            HttpResponse<InputStream> answer = fleet.http.send(
+                    fleet.request(fleet.routers.get(0), "/status/large", TestFleet.KEY)
+                            .build(),
+                    HttpResponse.BodyHandlers.ofInputStream());
+            assertEquals(200, answer.statusCode());
+            long before;
+            do {
+                before = written.get();
+                Thread.sleep(300);
+            } while (written.get() != before);
+            assertTrue(before < size / 2, "the server wrote " + before + " bytes although nobody reads");
+            long read = 0;
+            byte[] block = new byte[64 * 1024];
+            for (int next = answer.body().read(block);
+                    next >= 0;
+                    next = answer.body().read(block)) {
+                read += next;
+            }
+            assertEquals(size, read);
+        }
+    }
+
+    /** Failure guarded against: a request waits for its whole patience at an owner behind a partition. */
+    @Test
+    void partitionBetweenRoutersIsRefusedAsNotRunAndHeals() throws Exception {
+        try (TestFleet fleet = new TestFleet(2, 2)) {
+            RouterDaemon owner = owner(fleet);
+            RouterDaemon other = fleet.routers.get(0) == owner ? fleet.routers.get(1) : fleet.routers.get(0);
+            assertEquals(
+                    200,
+                    fleet.send(fleet.request(other, "/status/1", TestFleet.KEY)).statusCode());
+            owner.cutOff(router -> true);
+            other.cutOff(router -> true);
+            HttpResponse<String> refused = fleet.send(fleet.request(other, "/status/2", TestFleet.KEY));
+            assertEquals(503, refused.statusCode(), refused.body());
+            assertTrue(!TestFleet.errorCode(refused).isEmpty());
+            for (RouterDaemon router : fleet.routers) {
+                assertEquals(200, fleet.model(router, "own engine", 3, false).statusCode());
+            }
+            owner.cutOff(router -> false);
+            other.cutOff(router -> false);
+            TestFleet.await("the partition has healed", () -> {
+                try {
+                    return fleet.send(fleet.request(other, "/status/3", TestFleet.KEY))
+                                    .statusCode()
+                            == 200;
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            });
+        }
+    }
+
+    /** Failure guarded against: an outage of the store stops the service, or a booking runs without a record. */
+    @Test
+    void storeOutageRefusesBookingsOnly() throws Exception {
+        try (TestFleet fleet = new TestFleet(2, 2)) {
+            fleet.platform.faults().turn(faults -> faults.withOutage(Outage.UNAVAILABLE));
+            HttpResponse<String> booking = fleet.send(fleet.request(fleet.routers.get(0), "/bookings/1", TestFleet.KEY)
+                    .header("Idempotency-Key", "outage")
+                    .POST(HttpRequest.BodyPublishers.noBody()));
+            assertEquals("store_unreachable", TestFleet.errorCode(booking));
+            assertEquals(0, fleet.application.counters().value("executions"));
+            for (RouterDaemon router : fleet.routers) {
+                assertEquals(200, fleet.model(router, "outage", 3, false).statusCode());
+            }
+            fleet.platform.faults().clear();
+            TestFleet.await("bookings run again", () -> {
+                try {
+                    return fleet.send(fleet.request(fleet.routers.get(0), "/bookings/1", TestFleet.KEY)
+                                            .header("Idempotency-Key", "outage")
+                                            .POST(HttpRequest.BodyPublishers.noBody()))
+                                    .statusCode()
+                            == 200;
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            });
+            assertEquals(1, fleet.application.counters().value("executions"));
+        }
+    }
+
+    private static RouterDaemon owner(TestFleet fleet) {
+        return fleet.routers.stream()
+                .filter(router -> router.blackboard()
+                        .read(OwnerMap.TOPIC)
+                        .ownersByService()
+                        .get(new ServiceName("app"))
+                        .contains(router.id()))
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- a/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
@@ -44,7 +44,15 @@
     final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+    private final String applicationAddress;
+
     TestFleet(int routerCount, int engineCount) throws Exception {
+        this(routerCount, engineCount, "");
+    }
+
+    /** Starts a fleet whose application server is another one than the stand-in, unless the address is empty. */
+    TestFleet(int routerCount, int engineCount, String otherApplication) throws Exception {
+        applicationAddress = otherApplication.isEmpty() ? application.address() : otherApplication;
         for (int i = 0; i < engineCount; i++) {
             engines.add(new EngineStandIn(EngineSettings.fast()).start());
         }
@@ -157,7 +165,7 @@
                     "idempotent": true, "routes": [{"method": "GET", "pathPrefix": "/status"}],
                     "default": true}],
                  "workspaces": [{"id": "one", "keys": ["%s"]}]}
-                """.formatted(servers, application.address(), KeyDigestUtils.text(KeyDigestUtils.digest(KEY)));
+                """.formatted(servers, applicationAddress, KeyDigestUtils.text(KeyDigestUtils.digest(KEY)));
         HttpResponse<String> answer = send(request(routers.get(0), "/v1/operator/configuration", OPERATOR_KEY)
                 .header("If-Match", "\"0\"")
                 .PUT(HttpRequest.BodyPublishers.ofString(json)));
