Fix weights, eligibility, limits and preemption found by measurement

Cause: the measurement showed gaps above the bound, cold engines given more than they can handle, and late first tokens of reserved workspaces. Change: the virtual lead keeps its service units when a weight changes; eligibility is one quantum of service, not of virtual time; corrections act on the weight only; cuts aim below the target instead of always 0.7; two broken connections start the ramp until a later load report; stale reports end no ramp; enough streams are preempted when a server is above its limit. Totals are passed on when received, fan-in 4.

--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/FairOrder.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/FairOrder.java
@@ -34,6 +34,9 @@
 
     private static final Comparator<FairShare> BY_START =
             Comparator.<FairShare>comparingDouble(share -> share.start).thenComparing(share -> share.queue.workspace);
+    private static final Comparator<FairShare> BY_ELIGIBILITY = Comparator.<FairShare>comparingDouble(
+                    share -> share.eligibleAt)
+            .thenComparing(share -> share.queue.workspace);
     private static final Comparator<FairShare> BY_DEADLINE = Comparator.<FairShare>comparingLong(
                     share -> share.headDeadline)
             .thenComparingLong(share -> share.headSequence);
@@ -46,7 +49,7 @@
     /** Shares that wait and are not reserved. */
     private final TreeSet<FairShare> byStart = new TreeSet<>(BY_START);
 
-    private final TreeSet<FairShare> pending = new TreeSet<>(BY_START);
+    private final TreeSet<FairShare> pending = new TreeSet<>(BY_ELIGIBILITY);
     private final TreeSet<FairShare> eligible = new TreeSet<>(BY_DEADLINE);
     private final TreeSet<FairShare> reserved = new TreeSet<>(BY_DEADLINE);
 
@@ -92,7 +95,7 @@
             return null;
         }
         virtualTime = Math.max(virtualTime, byStart.first().start);
-        while (!pending.isEmpty() && pending.first().start <= virtualTime + quantum) {
+        while (!pending.isEmpty() && pending.first().eligibleAt <= virtualTime) {
             FairShare share = pending.pollFirst();
             share.place = FairShare.Place.ELIGIBLE;
             eligible.add(share);
@@ -103,12 +106,18 @@
     @Override
     public void granted(WorkspaceQueue queue, long estimatedUnits, long nowNanos) {
         quantum = quantum == 0 ? estimatedUnits : quantum + QUANTUM_WEIGHT * (estimatedUnits - quantum);
-        account(queue, estimatedUnits, nowNanos);
+        account(queue, estimatedUnits, estimatedUnits, nowNanos);
     }
 
+    /**
+     * Corrects the service counted; with fleet totals the virtual start stays.
+     *
+     * <p>The weight has changed since the grant, by up to 4,096 times: a refund of a part of a request, taken at the
+     * present weight, would be worth many requests. The corrected totals act on the weight instead.
+     */
     @Override
     public void corrected(WorkspaceQueue queue, long differenceUnits, long nowNanos) {
-        account(queue, differenceUnits, nowNanos);
+        account(queue, differenceUnits, useTotals ? 0 : differenceUnits, nowNanos);
     }
 
     /** Moves the virtual start only, so that one probe does not take all its requests from the same workspace. */
@@ -135,12 +144,8 @@
             share.elsewherePerSecond = Math.max(0, fleet - share.ownRate.perSecond(nowNanos));
         }
         for (FairShare share : waitingShares) {
-            // The lead over the virtual time was charged at the old weight; without this, a workspace that was far
-            // above the mean would keep waiting long after the totals say that it is below.
-            double formerWeight = share.weight;
             remove(share);
             refreshWeight(share, nowNanos);
-            share.start = virtualTime + (share.start - virtualTime) * formerWeight / share.weight;
             insert(share, nowNanos);
         }
         byExcess.clear();
@@ -185,13 +190,13 @@
                 .iterator();
     }
 
-    private void account(WorkspaceQueue queue, long units, long now) {
+    private void account(WorkspaceQueue queue, long units, long virtualUnits, long now) {
         FairShare share = share(queue);
         byExcess.remove(share);
         remove(share);
         share.start = Math.max(share.start, share.place == FairShare.Place.IDLE ? virtualTime : share.start);
         refreshWeight(share, now);
-        share.start += units / share.weight;
+        share.start += virtualUnits / share.weight;
         share.charged.add(units, now);
         share.ownRate.add((double) units, now);
         insert(share, now);
@@ -204,13 +209,19 @@
         byExcess.add(share);
     }
 
+    /**
+     * Takes the present weight; the share must be in no set.
+     *
+     * <p>The lead over the virtual time keeps its amount in service units. If it kept its virtual amount, a workspace
+     * that was served at weight 1/64 would wait long after the totals say that it is below the mean.
+     */
     private void refreshWeight(FairShare share, long now) {
+        double formerWeight = share.weight;
         if (totals != null) {
-            double scale = FairnessUtils.scale(
-                    totals.fleetRate(),
-                    now - totals.madeAtNanos(),
-                    totals.offsets().size());
+            double scale = FairnessUtils.scale(totals.fleetRate(), now - totals.madeAtNanos(), totals.backlogged());
             share.weight = FairnessUtils.weight(share.presentExcess(), scale);
+            double lead = Math.max(0, share.start - virtualTime);
+            share.start = virtualTime + lead * formerWeight / share.weight;
         }
     }
 
@@ -275,7 +286,10 @@
         share.countedWeight = share.weight;
         weightSum += share.weight;
         byStart.add(share);
-        if (share.start <= virtualTime + quantum) {
+        // One quantum of service ahead at most: at a weight of 64 a quantum of virtual time would be 64 requests, which
+        // would all go before a request with a later deadline.
+        share.eligibleAt = share.start - quantum / Math.max(1, share.weight);
+        if (share.eligibleAt <= virtualTime) {
             share.place = FairShare.Place.ELIGIBLE;
             eligible.add(share);
         } else {
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/FairShare.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/FairShare.java
@@ -28,6 +28,9 @@
     /** Virtual start; changes only while the share is in no set. */
     double start;
 
+    /** Virtual time from which the share is eligible; changes only while the share is in no set. */
+    double eligibleAt;
+
     double weight = 1;
 
     /** Offset from the mean in the last fleet totals, in service units. */
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerSlots.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServerSlots.java
@@ -11,8 +11,15 @@
     final ServerLimit limit;
     OwnedServer server;
     boolean owned = true;
+
+    /** Whether the share fell during this ownership: the lease lapsed, so the remainder is the next claimant's. */
+    private boolean shareReduced;
+
     int inFlight;
 
+    /** Requests in flight that are being cancelled for reserved capacity. */
+    int preempting;
+
     /** Requests whose entry router was lost. */
     final Set<Flight> orphans = new LinkedHashSet<>();
 
@@ -42,11 +49,21 @@
         if (server.share() >= 1) {
             return full;
         }
-        return server.fresh()
+        return server.fresh() && !shareReduced
                 ? full - (int) Math.floor(full * (1 - server.share()))
                 : (int) Math.floor(full * server.share());
     }
 
+    /** Takes over a new state of the ownership. */
+    void renew(OwnedServer renewed) {
+        if (renewed.fencingNumber() != server.fencingNumber() || renewed.share() > server.share()) {
+            shareReduced = false;
+        } else if (renewed.share() < server.share()) {
+            shareReduced = true;
+        }
+        server = renewed;
+    }
+
     int freeSlots() {
         return owned && server.admitting() ? Math.max(0, capacity() - inFlight) : 0;
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -180,6 +180,17 @@
         return pool.all().stream().map(ServerSlots::state).toList();
     }
 
+    /**
+     * Returns the workspaces that have requests waiting.
+     *
+     * @return workspaces, in no particular order
+     */
+    public Set<WorkspaceId> waitingWorkspaces() {
+        Set<WorkspaceId> present = new LinkedHashSet<>();
+        undrained.stream().filter(queue -> !queue.isEmpty()).forEach(queue -> present.add(queue.workspace));
+        return present;
+    }
+
     /**
      * Returns what the next owner of a server needs to know.
      *
@@ -341,6 +352,9 @@
         } else {
             flight.queue.flights.remove(flight);
             flight.server.orphans.remove(flight);
+            if (flight.stage == Flight.Stage.PREEMPTED) {
+                flight.server.preempting--;
+            }
         }
         ServerSlots server = flight.server;
         server.inFlight += change;
@@ -422,7 +436,8 @@
                 meanFirstTokenMillis = mean(meanFirstTokenMillis, report.firstTokenMillis());
                 limit.completed(flight.classOfWork, report.serverMillis(), now);
             }
-            case FAILED, BROKEN -> limit.failed(now);
+            case FAILED -> limit.failed(now);
+            case BROKEN -> limit.broken(now);
             case COLD -> limit.foundCold(OptionalInt.empty(), now);
             default -> limit.tick(now);
         }
@@ -483,7 +498,7 @@
                 if (server.admitting() && !slots.server.admitting()) {
                     slots.limit.returned(now);
                 }
-                slots.server = server;
+                slots.renew(server);
                 pool.update(slots);
             }
         }
@@ -520,11 +535,17 @@
         if (slots == null) {
             return;
         }
+        long measuredNanos = now - report.ageMillis() * NANOS_PER_MILLI;
         slots.limit.loadReported(
-                report.running(), report.waiting(), report.cold(), report.bearable(), report.uptimeMillis(), now);
+                report.running(),
+                report.waiting(),
+                report.cold(),
+                report.bearable(),
+                report.uptimeMillis(),
+                measuredNanos,
+                now);
         pool.update(slots);
         int notRunning = slots.inFlight - report.running() - report.waiting();
-        long measuredNanos = now - report.ageMillis() * NANOS_PER_MILLI;
         for (Flight orphan : List.copyOf(slots.orphans)) {
             if (notRunning > 0 && orphan.stageNanos < measuredNanos) {
                 release(orphan, orphan.producedUnits, now);
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
@@ -12,7 +12,7 @@
  * @param acknowledgedSequence last report of the receiving child that was added
  * @param ageMillis age of the least recent report in the totals
  * @param offsets offsets of backlogged workspaces
- * @param rates service rate of the fleet by service, in units a second
+ * @param rates service rate and number of backlogged workspaces by service
  * @param loads owners with the longest queues and with free slots, by service
  * @param routers routers that the totals cover
  * @param routersWithoutStore those of them that cannot reach the store
@@ -23,7 +23,7 @@
         long acknowledgedSequence,
         long ageMillis,
         List<Offset> offsets,
-        Map<ServiceName, Long> rates,
+        Map<ServiceName, Rate> rates,
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads,
         int routers,
         int routersWithoutStore,
@@ -66,4 +66,12 @@
      * @param unitsPerSecond its recent rate of service
      */
     public record Offset(WorkspaceId workspace, ServiceName service, long units, long unitsPerSecond) {}
+
+    /**
+     * Service rate of the fleet.
+     *
+     * @param unitsPerSecond units a second
+     * @param backlogged number of backlogged workspaces
+     */
+    public record Rate(long unitsPerSecond, int backlogged) {}
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/RootTotals.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/RootTotals.java
@@ -43,7 +43,7 @@
             counter.waitedNanos = nowNanos;
             counter.rate.add(offset.unitsPerSecond() * RATE_SECONDS, nowNanos);
         }
-        copy.rates().forEach((service, rate) -> fleetRate(service).add(rate * RATE_SECONDS, nowNanos));
+        copy.rates().forEach((service, rate) -> fleetRate(service).add(rate.unitsPerSecond() * RATE_SECONDS, nowNanos));
     }
 
     /**
@@ -104,14 +104,23 @@
     }
 
     /**
-     * Returns the service rate of the fleet.
+     * Returns the service rate of the fleet and the number of backlogged workspaces.
      *
      * @param nowNanos current time
-     * @return units a second by service
+     * @return rate by service
      */
-    public Map<ServiceName, Long> rates(long nowNanos) {
-        Map<ServiceName, Long> rates = new HashMap<>();
-        fleetRates.forEach((service, rate) -> rates.put(service, Math.max(0, Math.round(rate.perSecond(nowNanos)))));
+    public Map<ServiceName, FleetTotals.Rate> rates(long nowNanos) {
+        Map<ServiceName, Integer> listed = new HashMap<>();
+        counters.forEach((key, counter) -> {
+            if (counter.listed) {
+                listed.merge(key.service(), 1, Integer::sum);
+            }
+        });
+        Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
+        fleetRates.forEach((service, rate) -> rates.put(
+                service,
+                new FleetTotals.Rate(
+                        Math.max(0, Math.round(rate.perSecond(nowNanos))), listed.getOrDefault(service, 0))));
         return rates;
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
@@ -26,8 +26,11 @@
     private static final long SHORTEST_PERIOD_NANOS = Duration.ofMillis(250).toNanos();
     private static final long LONGEST_PERIOD_NANOS = Duration.ofSeconds(4).toNanos();
 
-    /** Bytes a second that reports and totals of one router may take. */
-    private static final double BUDGET_BYTES_PER_SECOND = 1_500;
+    /** Bytes a second that the reports of one router may take; with the totals below 4 KB/s. */
+    private static final double REPORT_BYTES_PER_SECOND = 1_250;
+
+    /** Bytes a second that the totals sent by one router to its children may take. */
+    private static final double TOTALS_BYTES_PER_SECOND = 2_250;
 
     /** Approximate encoded size of a message and of one entry in it. */
     private static final int MESSAGE_BYTES = 110;
@@ -168,19 +171,20 @@
     }
 
     /**
-     * Takes totals from the parent.
+     * Takes totals from the parent and passes them on, so that they do not age on their way down.
      *
      * @param sender router that sent them; totals of another router than the parent are ignored
      * @param received totals
      * @param nowNanos current time
+     * @return totals to send to each child
      */
-    public void receive(RouterId sender, FleetTotals received, long nowNanos) {
+    public Map<RouterId, FleetTotals> receive(RouterId sender, FleetTotals received, long nowNanos) {
         UsageReporter exchange = exchanges.get(sender);
         if (exchange != null) {
             exchange.acknowledge(received.acknowledgedSequence());
         }
         if (!sender.equals(parent)) {
-            return;
+            return Map.of();
         }
         long interval = Math.min(LONGEST_PERIOD_NANOS, nowNanos - heardFromParentNanos);
         parentPeriodNanos = Math.max(interval, parentPeriodNanos - parentPeriodNanos / 5);
@@ -190,6 +194,17 @@
             totals = received;
             totalsMadeNanos = nowNanos - received.ageMillis() * NANOS_PER_MILLI;
         }
+        return totalsForChildren(nowNanos);
+    }
+
+    /**
+     * Tells whether the period is over, so that the usage should be drained and added before the tick.
+     *
+     * @param nowNanos current time
+     * @return true if the next tick sends messages
+     */
+    public boolean due(long nowNanos) {
+        return !started || nowNanos >= dueNanos;
     }
 
     /**
@@ -199,7 +214,7 @@
      * @return messages to send; empty until the period is over
      */
     public Output tick(long nowNanos) {
-        if (started && nowNanos < dueNanos) {
+        if (!due(nowNanos)) {
             return Output.NONE;
         }
         started = true;
@@ -217,9 +232,9 @@
         } else {
             report = Optional.of(subtree.report(reporter, nowNanos));
         }
-        long totalsAge = (nowNanos - totalsMadeNanos) / NANOS_PER_MILLI;
-        children.forEach(
-                (child, counters) -> down.put(child, totals.with(counters.last().sequence(), totalsAge)));
+        if (root != null) {
+            down.putAll(totalsForChildren(nowNanos));
+        }
         adaptPeriod(report, nowNanos);
         return new Output(Optional.ofNullable(parent), report, exchange, down);
     }
@@ -238,10 +253,17 @@
                     .put(offset.workspace(), offset.unitsPerSecond());
         }
         Map<ServiceName, ServiceTotals.Totals> byService = new HashMap<>();
-        offsets.forEach((service, byWorkspace) -> byService.put(
-                service,
-                new ServiceTotals.Totals(
-                        byWorkspace, rates.get(service), totals.rates().getOrDefault(service, 0L), totalsMadeNanos)));
+        offsets.forEach((service, byWorkspace) -> {
+            FleetTotals.Rate rate = totals.rates().getOrDefault(service, new FleetTotals.Rate(0, byWorkspace.size()));
+            byService.put(
+                    service,
+                    new ServiceTotals.Totals(
+                            byWorkspace,
+                            rates.get(service),
+                            rate.unitsPerSecond(),
+                            rate.backlogged(),
+                            totalsMadeNanos));
+        });
         return new ServiceTotals(byService, totals.loads(), totals.version());
     }
 
@@ -292,6 +314,14 @@
         }
     }
 
+    private Map<RouterId, FleetTotals> totalsForChildren(long now) {
+        Map<RouterId, FleetTotals> down = new LinkedHashMap<>();
+        long age = (now - totalsMadeNanos) / NANOS_PER_MILLI;
+        children.forEach(
+                (child, counters) -> down.put(child, totals.with(counters.last().sequence(), age)));
+        return down;
+    }
+
     private Subtree subtree(long now) {
         Subtree subtree = new Subtree();
         subtree.backlogged.addAll(localBacklogged);
@@ -374,14 +404,22 @@
         }
     }
 
+    /**
+     * Sets the time to the next report, or at the root to the next totals.
+     *
+     * <p>A router passes totals on when it receives them, so the period of the root also bounds what all others send.
+     */
     private void adaptPeriod(Optional<UsageReport> report, long now) {
-        long bytes = 0;
+        double seconds;
         if (report.isPresent()) {
-            bytes += MESSAGE_BYTES + ENTRY_BYTES * (long) report.get().usage().size();
+            seconds =
+                    (MESSAGE_BYTES + ENTRY_BYTES * (double) report.get().usage().size()) / REPORT_BYTES_PER_SECOND;
+        } else {
+            double bytes =
+                    MESSAGE_BYTES + ENTRY_BYTES * (double) totals.offsets().size();
+            seconds = Math.min(TreeUtils.FAN_IN, children.size()) * bytes / TOTALS_BYTES_PER_SECOND;
         }
-        bytes += children.size()
-                * (MESSAGE_BYTES + ENTRY_BYTES * (long) totals.offsets().size());
-        long wanted = (long) (bytes / BUDGET_BYTES_PER_SECOND * 1e9);
+        long wanted = (long) (seconds * 1e9);
         periodNanos = Math.min(LONGEST_PERIOD_NANOS, Math.max(SHORTEST_PERIOD_NANOS, wanted));
         dueNanos = now + periodNanos;
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/TreeUtils.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/TreeUtils.java
@@ -3,8 +3,11 @@
 /** Positions in the tree of routers. */
 public final class TreeUtils {
 
-    /** Children of one router. */
-    public static final int FAN_IN = 16;
+    /**
+     * Children of one router. The totals go to each child, so with the traffic of a router bounded their period grows
+     * with the fan-in, while the number of levels falls only with its logarithm: 4 gives the smallest age.
+     */
+    public static final int FAN_IN = 4;
 
     private TreeUtils() {}
 
--- a/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
@@ -20,6 +20,9 @@
     private static final long WINDOW_NANOS = 1_000 * NANOS_PER_MILLI;
     private static final double USUAL_WEIGHT = 0.1;
 
+    /** Part of the target that a cut aims at: a cut to 0.7 for an excess of a few percent leaves capacity unused. */
+    private static final double BELOW_TARGET = 0.97;
+
     /** Windows that must be seen before "usual" latency is known. */
     private static final int USUAL_WINDOWS = 5;
 
@@ -49,6 +52,17 @@
     private int usualWindows;
     private long uptimeMillis = -1;
 
+    /** Requests that a cold server last said it can handle; 0 when it said nothing. */
+    private int bearableRequests;
+
+    private long brokenNanos;
+    private boolean brokenBefore;
+
+    /** Whether the ramp began on broken connections only; a load report measured later can end it. */
+    private boolean suspected;
+
+    private long rampNanos;
+
     /**
      * Creates the limit of a server without history, which starts in the ramp.
      *
@@ -139,7 +153,7 @@
      */
     public void completed(ClassName classOfWork, long serverMillis, long nowNanos) {
         if (ramping) {
-            limit = Math.min(settings.largest(), limit + 1);
+            limit = Math.min(bearableRequests > 0 ? bearableRequests : settings.largest(), limit + 1);
             if (formerLimit > 0 && limit >= formerLimit) {
                 limit = formerLimit;
                 endRamp(nowNanos);
@@ -158,7 +172,27 @@
      * @param nowNanos current time
      */
     public void failed(long nowNanos) {
-        cut(nowNanos);
+        cut(nowNanos, settings.cutFactor());
+    }
+
+    /**
+     * Notes that the connection to the server could not be made or broke.
+     *
+     * <p>Two within a second mean that the server may have restarted. Waiting for its load report would give the
+     * slots of the broken streams to a cold server at once.
+     *
+     * @param nowNanos current time
+     */
+    public void broken(long nowNanos) {
+        boolean again = brokenBefore && nowNanos - brokenNanos < WINDOW_NANOS;
+        brokenBefore = true;
+        brokenNanos = nowNanos;
+        if (again) {
+            suspected |= !ramping;
+            foundCold(OptionalInt.empty(), nowNanos);
+        } else {
+            cut(nowNanos, settings.cutFactor());
+        }
     }
 
     /**
@@ -176,6 +210,7 @@
             limit = bearable.orElse((int) Math.max(1, Math.min(limit, inFlight - 1)));
         }
         limit = Math.max(1, limit);
+        rampNanos = nowNanos;
         startWindow(nowNanos);
     }
 
@@ -192,6 +227,7 @@
             ramping = true;
             limit = Math.max(1, inFlight);
         }
+        rampNanos = nowNanos;
         startWindow(nowNanos);
     }
 
@@ -203,19 +239,35 @@
      * @param cold whether the server says that it is cold
      * @param bearable requests that it says it can handle now, if it says so
      * @param reportedUptimeMillis time since its process started
+     * @param measuredNanos time that the figures are from
      * @param nowNanos current time
      */
     public void loadReported(
-            int running, int waiting, boolean cold, OptionalInt bearable, long reportedUptimeMillis, long nowNanos) {
+            int running,
+            int waiting,
+            boolean cold,
+            OptionalInt bearable,
+            long reportedUptimeMillis,
+            long measuredNanos,
+            long nowNanos) {
         boolean restarted = uptimeMillis >= 0 && reportedUptimeMillis < uptimeMillis;
         boolean firstReport = uptimeMillis < 0;
         uptimeMillis = reportedUptimeMillis;
+        bearableRequests = cold ? bearable.orElse(0) : 0;
         boolean recent = firstReport && reportedUptimeMillis < settings.recentStartMillis();
         if (restarted || recent || (cold && !ramping)) {
+            suspected = false;
             foundCold(bearable, nowNanos);
+        } else if (suspected && !cold && measuredNanos > brokenNanos) {
+            suspected = false;
+            limit = Math.max(1, formerLimit);
+            endRamp(nowNanos);
         } else if (cold && bearable.isPresent()) {
             limit = Math.max(1, bearable.getAsInt());
-        } else if (ramping && waiting == 0 && reportedUptimeMillis >= settings.recentStartMillis()) {
+        } else if (ramping
+                && measuredNanos > rampNanos
+                && waiting == 0
+                && reportedUptimeMillis >= settings.recentStartMillis()) {
             limit = Math.max(limit, running);
         }
         if (waiting > 0 && running > 0 && running < limit && !ramping) {
@@ -257,7 +309,7 @@
                 foundCold(OptionalInt.empty(), nowNanos);
             } else if (mean > 1) {
                 withinTarget = false;
-                cut(nowNanos);
+                cut(nowNanos, Math.max(settings.cutFactor(), BELOW_TARGET / mean));
             } else {
                 withinTarget = true;
                 usualRatio = usualWindows == 0 ? mean : usualRatio + USUAL_WEIGHT * (mean - usualRatio);
@@ -267,14 +319,14 @@
         startWindow(nowNanos);
     }
 
-    private void cut(long nowNanos) {
+    private void cut(long nowNanos, double factor) {
         boolean held = cutBefore && nowNanos - cutNanos < settings.holdOffMillis() * NANOS_PER_MILLI;
         // Requests run for tens of seconds: until the requests in flight have come down to the limit, latency still
         // shows the state before the last cut.
         if (held || (cutBefore && inFlight > limit)) {
             return;
         }
-        limit = Math.max(1, limit * settings.cutFactor());
+        limit = Math.max(1, limit * factor);
         cutNanos = nowNanos;
         cutBefore = true;
         if (ramping && formerLimit == 0) {
--- a/decision/src/test/java/org/coltsfootquay/decision/dispatch/FairOrderTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/FairOrderTest.java
@@ -169,7 +169,8 @@
         fixture.handle(new DispatchEvent.TotalsChanged(new ServiceTotals(
                 Map.of(
                         DispatchFixture.SERVICE,
-                        new ServiceTotals.Totals(byWorkspace(offsets), byWorkspace(rates), 1_000, fixture.nowNanos)),
+                        new ServiceTotals.Totals(
+                                byWorkspace(offsets), byWorkspace(rates), 1_000, offsets.size(), fixture.nowNanos)),
                 Map.of(),
                 1)));
     }
--- a/decision/src/test/java/org/coltsfootquay/decision/fairness/TotalsNodeTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/fairness/TotalsNodeTest.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -29,7 +28,7 @@
     private final List<RouterId> members = new ArrayList<>();
     private final List<Runnable> inTransit = new ArrayList<>();
     private final Random random = new Random(7);
-    private final Set<RouterId> lostBefore = new HashSet<>();
+    private long totalsLostNanos;
     private long now = Duration.ofHours(1).toNanos();
     private double lossRate;
     private double repeatRate;
@@ -99,7 +98,6 @@
             charge(members.get(4), "b", 10);
             step();
         }
-        long before = offset("r1", "a") - offset("r1", "b");
         nodes.remove(members.get(0));
         for (int step = 0; step < 60; step++) {
             charge(members.get(3), "a", 0);
@@ -107,7 +105,7 @@
             step();
         }
         assertTrue(nodes.get(members.get(1)).isRoot());
-        assertNear(before, offset("r4", "a") - offset("r4", "b"), 300);
+        assertNear(40 * 90, offset("r4", "a") - offset("r4", "b"), 300);
     }
 
     @Test
@@ -197,20 +195,25 @@
                 TotalsNode.Output output = node.tick(now);
                 output.report().ifPresent(report -> send(output.parent().orElseThrow(), id, report));
                 output.exchange().forEach((to, report) -> send(to, id, report));
-                output.totals().forEach((to, totals) -> {
-                    // Two lost totals in a row would look like a dead parent, which is another test's subject.
-                    boolean keep = !lostBefore.remove(to);
-                    double rate = lossRate;
-                    lossRate = keep ? lossRate : 0;
-                    if (!transmit(to, target -> target.receive(id, totals, now))) {
-                        lostBefore.add(to);
-                    }
-                    lossRate = rate;
-                });
+                sendTotals(id, output.totals());
             }
         }
     }
 
+    private void sendTotals(RouterId from, Map<RouterId, FleetTotals> byChild) {
+        byChild.forEach((to, totals) -> {
+            // Lost totals are missing in the whole subtree; losses in a row would look like a dead parent, which is
+            // another test's subject.
+            boolean keep = now - totalsLostNanos < Duration.ofSeconds(1).toNanos();
+            double rate = lossRate;
+            lossRate = keep ? 0 : lossRate;
+            if (!transmit(to, target -> sendTotals(to, target.receive(from, totals, now)))) {
+                totalsLostNanos = now;
+            }
+            lossRate = rate;
+        });
+    }
+
     private void send(RouterId to, RouterId from, UsageReport report) {
         transmit(to, target -> target.receive(from, report, now));
     }
--- a/decision/src/test/java/org/coltsfootquay/decision/limit/ServerLimitTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/limit/ServerLimitTest.java
@@ -92,16 +92,16 @@
     @Test
     void rampBeginsWithWhatTheServerCanHandle() {
         limit.restore(40, false);
-        limit.loadReported(0, 0, true, OptionalInt.of(5), 2_000, now);
+        limit.loadReported(0, 0, true, OptionalInt.of(5), 2_000, now, now);
         assertEquals(5, limit.limit());
     }
 
     @Test
     void decreasedUptimeMeansRestart() {
         limit.restore(40, false);
-        limit.loadReported(10, 0, false, OptionalInt.empty(), 500_000, now);
+        limit.loadReported(10, 0, false, OptionalInt.empty(), 500_000, now, now);
         assertEquals(40, limit.limit());
-        limit.loadReported(0, 0, false, OptionalInt.empty(), 100_000, now);
+        limit.loadReported(0, 0, false, OptionalInt.empty(), 100_000, now, now);
         assertEquals(1, limit.limit());
     }
 
@@ -124,6 +124,37 @@
         assertEquals(7, limit.limit());
     }
 
+    @Test
+    void smallExcessCutsOnlyAsFarAsNeeded() {
+        limit.restore(100, false);
+        seconds(2, 60, false);
+        assertEquals(92, limit.limit());
+    }
+
+    @Test
+    void twoBrokenConnectionsAreTakenForRestartUntilLoadReportSaysOtherwise() {
+        limit.restore(40, false);
+        limit.loadReported(40, 0, false, OptionalInt.empty(), 500_000, now, now);
+        limit.occupied(40, true);
+        limit.broken(now);
+        limit.broken(now);
+        assertEquals(1, limit.limit());
+        limit.loadReported(40, 0, false, OptionalInt.empty(), 500_100, now - 1, now);
+        assertTrue(limit.ramping(), "a report from before the break says nothing");
+        now += Duration.ofSeconds(1).toNanos();
+        limit.loadReported(38, 0, false, OptionalInt.empty(), 501_000, now, now);
+        assertFalse(limit.ramping());
+        assertTrue(limit.limit() >= 27, "limit " + limit.limit());
+    }
+
+    @Test
+    void rampStaysWithinWhatColdServerCanHandle() {
+        limit.restore(40, false);
+        limit.loadReported(0, 0, true, OptionalInt.of(3), 2_000, now, now);
+        limit.completed(CLASS, 1_000, now);
+        assertEquals(3, limit.limit());
+    }
+
     @Test
     void applicationServerIsJudgedByItsSmallestResponseTime() {
         ServerLimit application = new ServerLimit(LimitSettings.standard(), ServiceKind.APPLICATION, now);
