Carry the digest of routers without the store over the aggregation tree

Change: the digest and the number of backlogged workspaces travel in usage reports and fleet totals; token targets are read from Target.

--- a/decision/src/main/java/org/coltsfootquay/decision/configuration/Target.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/configuration/Target.java
@@ -23,4 +23,13 @@
     public Duration startWithin() {
         return firstTokenWithin.or(() -> finishedWithin).orElse(DEFAULT_START);
     }
+
+    /**
+     * Returns the time between two tokens.
+     *
+     * @return milliseconds; 0 without such a target
+     */
+    public int betweenTokensMillis() {
+        return (int) betweenTokens.map(Duration::toMillis).orElse(0L).longValue();
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -674,13 +674,7 @@
 
     private int tokenTarget(Flight flight) {
         ClassOfWork work = configuration.classes().get(flight.classOfWork);
-        return work == null
-                ? 0
-                : (int) work.target()
-                        .betweenTokens()
-                        .map(Duration::toMillis)
-                        .orElse(0L)
-                        .longValue();
+        return work == null ? 0 : work.target().betweenTokensMillis();
     }
 
     private WorkspaceQueue queue(WorkspaceId workspace) {
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
@@ -62,6 +62,7 @@
 
     private long periodNanos = SHORTEST_PERIOD_NANOS;
     private long dueNanos;
+    private long ownDigest;
     private boolean storeReachable = true;
     private long configurationVersion;
     private boolean started;
@@ -285,6 +286,15 @@
         return root != null;
     }
 
+    /**
+     * Sets the digest by which reports name this router while it cannot reach the store.
+     *
+     * @param digest digest of the router and its incarnation
+     */
+    public void ownDigest(long digest) {
+        this.ownDigest = digest;
+    }
+
     /**
      * Returns the present parent.
      *
@@ -327,6 +337,7 @@
         subtree.backlogged.addAll(localBacklogged);
         subtree.loads.add(localLoads);
         subtree.routersWithoutStore = storeReachable ? 0 : 1;
+        subtree.withoutStoreDigest = storeReachable ? 0 : ownDigest;
         subtree.version = configurationVersion;
         subtree.oldestNanos = now;
         children.values().forEach(subtree::add);
@@ -352,6 +363,7 @@
                 subtree.loads.selection(),
                 subtree.routers,
                 subtree.routersWithoutStore,
+                subtree.withoutStoreDigest,
                 subtree.version);
         totalsMadeNanos = oldestNanos;
     }
@@ -431,6 +443,7 @@
         private final OwnerLoads loads = new OwnerLoads();
         private int routers = 1;
         private int routersWithoutStore;
+        private long withoutStoreDigest;
         private long version;
         private long oldestNanos;
 
@@ -439,6 +452,7 @@
             loads.add(child.last().loads());
             routers += child.last().routersInSubtree();
             routersWithoutStore += child.last().routersWithoutStore();
+            withoutStoreDigest += child.last().withoutStoreDigest();
             version = Math.max(version, child.last().configurationVersion());
             oldestNanos = Math.min(oldestNanos, child.dataNanos());
         }
@@ -452,6 +466,7 @@
                     loads.selection(),
                     routers,
                     routersWithoutStore,
+                    withoutStoreDigest,
                     version,
                     (now - oldestNanos) / NANOS_PER_MILLI);
         }
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RegionName;
@@ -32,6 +33,7 @@
     private final Blackboard blackboard;
     private final OwnerRouter owner;
     private final OwnerPort peers;
+    private final RouterId self;
     private final RegionName region;
     private final TotalsNode node;
     private final SettledContact settled = new SettledContact();
@@ -50,7 +52,9 @@
         this.owner = owner;
         this.peers = peers;
         this.region = region;
+        this.self = self;
         this.node = new TotalsNode(self, session);
+        node.ownDigest(RegionStoreReport.digest(self, session));
     }
 
     void start() {
@@ -79,6 +83,8 @@
     }
 
     private void membersChanged(MembershipView view) {
+        Optional.ofNullable(view.members().get(self))
+                .ifPresent(own -> node.ownDigest(RegionStoreReport.digest(self, own.incarnation())));
         Set<RouterId> otherRoots = new HashSet<>();
         view.members().values().stream()
                 .map(Member::region)
@@ -131,6 +137,7 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
+                        fleet.withoutStoreDigest(),
                         settled.lastSettledNanos(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -28,6 +28,7 @@
                 .setIncarnation(report.session())
                 .setRoutersInSubtree(report.routersInSubtree())
                 .setRoutersWithoutStore(report.routersWithoutStore())
+                .setWithoutStoreDigest(report.withoutStoreDigest())
                 .setConfigurationVersion(report.configurationVersion())
                 .setIntervalMillis(report.ageMillis())
                 .setSettledAgeMillis(settledAgeMillis)
@@ -56,6 +57,7 @@
                 loads(message.getLoadsList()),
                 message.getRoutersInSubtree(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion(),
                 message.getIntervalMillis());
     }
@@ -67,6 +69,7 @@
                 .setAgeMillis(totals.ageMillis())
                 .setRouters(totals.routers())
                 .setRoutersWithoutStore(totals.routersWithoutStore())
+                .setWithoutStoreDigest(totals.withoutStoreDigest())
                 .setConfigurationVersion(totals.configurationVersion())
                 .setSettledAgeMillis(settledAgeMillis)
                 .addAllLoads(loads(totals.loads()));
@@ -77,8 +80,10 @@
                         .setOffsetUnits(offset.units())
                         .setUnitsPerSecond(offset.unitsPerSecond())));
         totals.rates()
-                .forEach((service, rate) -> message.addRates(
-                        ServiceRate.newBuilder().setService(service.value()).setUnitsPerSecond(rate)));
+                .forEach((service, rate) -> message.addRates(ServiceRate.newBuilder()
+                        .setService(service.value())
+                        .setUnitsPerSecond(rate.unitsPerSecond())
+                        .setBackloggedWorkspaces(rate.backlogged())));
         return Frame.newBuilder().setFleetTotals(message).build();
     }
 
@@ -90,8 +95,11 @@
                         entry.getOffsetUnits(),
                         entry.getUnitsPerSecond()))
                 .toList();
-        Map<ServiceName, Long> rates = new HashMap<>();
-        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), rate.getUnitsPerSecond()));
+        Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
+        message.getRatesList()
+                .forEach(rate -> rates.put(
+                        new ServiceName(rate.getService()),
+                        new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
         return new FleetTotals(
                 message.getVersion(),
                 message.getAcknowledgedSequence(),
@@ -101,6 +109,7 @@
                 loads(message.getLoadsList()),
                 message.getRouters(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion());
     }
 
