Add gates of the platform stand-in, timing model and cache tests

Cause: partitions concern some callers only, and the knee of the engine model and its cache were not tested.

--- a/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
@@ -51,7 +51,7 @@
                         loop,
                         faults,
                         counters,
-                        Map.of("coldAgain", this::beginCold, "restart", this::restartInLoop),
+                        Map.of("coldAgain", this::beginCold, "restart", this::restart),
                         this::handle));
     }
 
@@ -114,12 +114,12 @@
 
     /** Makes the server cold; requests in flight go on. */
     public void turnCold() {
-        loop.submit(this::beginCold).syncUninterruptibly();
+        runInLoop(this::beginCold);
     }
 
     /** Restarts the server: requests in flight are lost and it is cold. */
     public void restart() {
-        loop.submit(this::restartInLoop).syncUninterruptibly();
+        runInLoop(this::restartInLoop);
         server.breakConnections();
     }
 
@@ -127,16 +127,29 @@
     @Override
     public void close() {
         server.close();
-        loop.submit(this::restartInLoop).syncUninterruptibly();
+        runInLoop(this::stop);
+    }
+
+    private void runInLoop(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.submit(task).syncUninterruptibly();
+        }
     }
 
     private void beginCold() {
         coldStart.begin(System.nanoTime());
     }
 
-    private void restartInLoop() {
+    private void stop() {
         incarnation++;
         inFlight = 0;
+        counters.set("running", 0);
+    }
+
+    private void restartInLoop() {
+        stop();
         long now = System.nanoTime();
         load.restart(now);
         coldStart.begin(now);
@@ -195,7 +208,7 @@
     }
 
     private long serviceNanos(long now) {
-        double millis = settings.serviceMillis();
+        double millis = settings.serviceMillis() * faults.current().slowFactor();
         if (inFlight > settings.capacity()) {
             millis *= (double) inFlight / settings.capacity();
         }
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
@@ -3,9 +3,11 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.standin.backend.ColdStart;
 import org.coltsfootquay.standin.backend.LoadHistory;
@@ -18,6 +20,7 @@
     private static final double COLLAPSE_SLOWDOWN = 4;
 
     private final EngineSettings settings;
+    private final EngineTiming timing;
     private final EventLoop loop;
     private final FaultSwitches faults;
     private final Counters counters;
@@ -25,8 +28,8 @@
     private final LoadHistory load;
     private final PrefixCache cache;
     private final Map<String, EngineStream> held = new LinkedHashMap<>();
+    private final Set<EngineStream> decoding = new LinkedHashSet<>();
     private int inFlight;
-    private int decoding;
     private boolean stepScheduled;
     private long prefillFreeNanos;
     private long collapsedUntilNanos;
@@ -34,6 +37,7 @@
 
     EngineCore(EngineSettings settings, EventLoop loop, FaultSwitches faults, Counters counters) {
         this.settings = settings;
+        this.timing = new EngineTiming(settings);
         this.loop = loop;
         this.faults = faults;
         this.counters = counters;
@@ -68,20 +72,26 @@
 
     /** Starts the engine, or restarts it with no memory. */
     void restart() {
+        stop();
+        long now = System.nanoTime();
+        prefillFreeNanos = now;
+        collapsedUntilNanos = now;
+        load.restart(now);
+        coldStart.begin(now);
+    }
+
+    /** Breaks all streams and forgets everything. */
+    void stop() {
         incarnation++;
         for (EngineStream stream : new ArrayList<>(held.values())) {
             stream.abortCaller();
         }
         held.clear();
         cache.clear();
+        decoding.clear();
         inFlight = 0;
-        decoding = 0;
         stepScheduled = false;
-        long now = System.nanoTime();
-        prefillFreeNanos = now;
-        collapsedUntilNanos = now;
-        load.restart(now);
-        coldStart.begin(now);
+        counters.set("running", 0);
     }
 
     /** Makes the engine cold; requests in flight go on, slowly. */
@@ -147,11 +157,11 @@
     private void startPrefill(EngineStream stream, long now) {
         long[] hashes = stream.prefixHashes();
         int cachedTokens = cache.use(hashes) * PromptUtils.tokens(PrefixHashUtils.BLOCK_BYTES);
-        int tokens = Math.max(1, stream.promptTokens() - cachedTokens) + stream.firstPosition();
         counters.add("promptTokens", stream.promptTokens());
         counters.add("cachedTokens", cachedTokens);
         double slowdown = slowdown(now);
-        long prefillNanos = (long) (tokens * 1e9 * slowdown / settings.prefillTokensPerSecond());
+        long prefillNanos = (long)
+                (timing.prefillMillis(stream.promptTokens() + stream.firstPosition(), cachedTokens) * 1e6 * slowdown);
         long startNanos = prefillFreeNanos - now > 0 ? prefillFreeNanos : now;
         prefillFreeNanos = startNanos + prefillNanos;
         long constantNanos = (long) (settings.firstTokenMillis() * 1e6 * slowdown);
@@ -163,15 +173,14 @@
             return;
         }
         cache.store(stream.prefixHashes(), System.nanoTime());
-        stream.startDecoding();
-        decoding++;
+        decoding.add(stream);
         noteLoad(System.nanoTime());
         produce(stream);
         scheduleStep();
     }
 
     private void scheduleStep() {
-        if (stepScheduled || decoding == 0) {
+        if (stepScheduled || decoding.isEmpty()) {
             return;
         }
         stepScheduled = true;
@@ -180,8 +189,8 @@
 
     private void step() {
         stepScheduled = false;
-        for (EngineStream stream : new ArrayList<>(held.values())) {
-            if (stream.decoding() && !stream.done()) {
+        for (EngineStream stream : new ArrayList<>(decoding)) {
+            if (!stream.done()) {
                 produce(stream);
             }
         }
@@ -224,9 +233,7 @@
             stream.fail(500, "ended", "the engine gave the request up");
         }
         inFlight--;
-        if (stream.decoding()) {
-            decoding--;
-        }
+        decoding.remove(stream);
         counters.set("running", inFlight);
         noteLoad(System.nanoTime());
     }
@@ -259,24 +266,17 @@
     }
 
     private long intervalNanos(long now) {
-        double interval = settings.tokenIntervalMillis();
-        if (decoding > settings.knee()) {
-            interval *= 1 + settings.growthPerStream() * (decoding - settings.knee());
-        }
-        if (decoding > settings.capacity()) {
-            double excess = (double) decoding / settings.capacity();
-            interval *= excess * excess;
-        }
-        return (long) (interval * 1e6 * slowdown(now));
+        return (long) (timing.tokenIntervalMillis(decoding.size()) * 1e6 * slowdown(now));
     }
 
     private double slowdown(long now) {
         double slowdown = coldStart.cold(now) ? settings.coldSlowdown() : 1;
+        slowdown *= faults.current().slowFactor();
         return collapsedUntilNanos - now > 0 ? slowdown * COLLAPSE_SLOWDOWN : slowdown;
     }
 
     private void noteLoad(long now) {
-        load.note(now, inFlight, inFlight - decoding);
+        load.note(now, inFlight, inFlight - decoding.size());
     }
 
     private void schedule(Runnable task, long delayNanos) {
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineStandIn.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineStandIn.java
@@ -139,7 +139,7 @@
     @Override
     public void close() {
         server.close();
-        loop.submit(core::restart).syncUninterruptibly();
+        loop.submit(core::stop).syncUninterruptibly();
     }
 
     private void handle(Exchange exchange) {
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineStream.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineStream.java
@@ -17,7 +17,6 @@
     private final long[] prefixHashes;
     private int position;
     private int sentOnConnection;
-    private boolean decoding;
     private boolean done;
     private Exchange caller;
 
@@ -60,14 +59,6 @@
         return prefixHashes.clone();
     }
 
-    boolean decoding() {
-        return decoding;
-    }
-
-    void startDecoding() {
-        decoding = true;
-    }
-
     boolean done() {
         return done;
     }
@@ -178,11 +169,9 @@
             return;
         }
         sentOnConnection++;
-        ObjectNode event = JsonUtils.object();
-        ObjectNode choice = event.putArray("choices").addObject();
-        choice.putObject("delta").put("content", answer.token(index));
-        choice.put("index", 0).putNull("finish_reason");
-        caller.sendEvent(event.put("position", index).toString());
+        // Token texts need no escapes, so the event is written without a JSON tree; it is the most frequent message.
+        caller.sendEvent("{\"choices\":[{\"delta\":{\"content\":\"" + answer.token(index)
+                + "\"},\"index\":0,\"finish_reason\":null}],\"position\":" + index + "}");
     }
 
     private ObjectNode usage() {
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
@@ -103,8 +103,9 @@
                         return SettingsJson.read(object, switches.current());
                     });
             switches.turn(old -> positions);
-            chosen.forEach(Runnable::run);
+            // A restart breaks this connection too, so the answer goes first.
             exchange.answer(200, SettingsJson.write(positions));
+            chosen.forEach(Runnable::run);
         } catch (SettingsException e) {
             answerProblems(exchange, e);
         }
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
@@ -7,7 +7,8 @@
  *
  * @param outage outage of the whole stand-in
  * @param throttle whether the platform answers 429 to each call
- * @param slowMillis delay added to each answer, in milliseconds
+ * @param slowMillis delay before each call is handled, in milliseconds
+ * @param slowFactor factor on the processing times of engines and application servers
  * @param lagMillis lag added to the VM list, to load reports and to cache events, in milliseconds
  * @param loseNextAnswers number of coming calls with an effect whose answer is lost after the effect
  * @param loseOneAnswerIn each n-th call with an effect loses its answer after the effect; 0 for none
@@ -18,6 +19,7 @@
         Outage outage,
         boolean throttle,
         long slowMillis,
+        double slowFactor,
         long lagMillis,
         int loseNextAnswers,
         int loseOneAnswerIn,
@@ -31,6 +33,7 @@
         new RangeCheck()
                 .present("outage", outage, "write \"none\"")
                 .range("slowMillis", slowMillis, 0, MAX_MILLIS)
+                .range("slowFactor", slowFactor, 1, 1_000)
                 .range("lagMillis", lagMillis, 0, MAX_MILLIS)
                 .range("loseNextAnswers", loseNextAnswers, 0, Integer.MAX_VALUE)
                 .range("loseOneAnswerIn", loseOneAnswerIn, 0, Integer.MAX_VALUE)
@@ -44,7 +47,7 @@
      * @return no faults
      */
     public static Faults none() {
-        return new Faults(Outage.NONE, false, 0, 0, 0, 0, false, 0);
+        return new Faults(Outage.NONE, false, 0, 1, 0, 0, 0, false, 0);
     }
 
     /**
@@ -58,6 +61,7 @@
                 value,
                 throttle,
                 slowMillis,
+                slowFactor,
                 lagMillis,
                 loseNextAnswers,
                 loseOneAnswerIn,
@@ -76,6 +80,7 @@
                 outage,
                 value,
                 slowMillis,
+                slowFactor,
                 lagMillis,
                 loseNextAnswers,
                 loseOneAnswerIn,
@@ -84,7 +89,7 @@
     }
 
     /**
-     * Returns a copy with another delay of answers.
+     * Returns a copy with another delay of calls.
      *
      * @param value delay in milliseconds
      * @return the copy
@@ -94,6 +99,26 @@
                 outage,
                 throttle,
                 value,
+                slowFactor,
+                lagMillis,
+                loseNextAnswers,
+                loseOneAnswerIn,
+                ignoreFencing,
+                cutStreamsAfterTokens);
+    }
+
+    /**
+     * Returns a copy with another factor on processing times.
+     *
+     * @param value factor, at least 1
+     * @return the copy
+     */
+    public Faults withSlowFactor(double value) {
+        return new Faults(
+                outage,
+                throttle,
+                slowMillis,
+                value,
                 lagMillis,
                 loseNextAnswers,
                 loseOneAnswerIn,
@@ -112,6 +137,7 @@
                 outage,
                 throttle,
                 slowMillis,
+                slowFactor,
                 value,
                 loseNextAnswers,
                 loseOneAnswerIn,
@@ -120,29 +146,45 @@
     }
 
     /**
-     * Returns a copy that loses the answers of coming calls.
+     * Returns a copy with another number of answers to lose.
      *
      * @param value number of calls
      * @return the copy
      */
     public Faults withLoseNextAnswers(int value) {
         return new Faults(
-                outage, throttle, slowMillis, lagMillis, value, loseOneAnswerIn, ignoreFencing, cutStreamsAfterTokens);
+                outage,
+                throttle,
+                slowMillis,
+                slowFactor,
+                lagMillis,
+                value,
+                loseOneAnswerIn,
+                ignoreFencing,
+                cutStreamsAfterTokens);
     }
 
     /**
-     * Returns a copy that loses each n-th answer.
+     * Returns a copy with another rate of lost answers.
      *
      * @param value n, or 0 for none
      * @return the copy
      */
     public Faults withLoseOneAnswerIn(int value) {
         return new Faults(
-                outage, throttle, slowMillis, lagMillis, loseNextAnswers, value, ignoreFencing, cutStreamsAfterTokens);
+                outage,
+                throttle,
+                slowMillis,
+                slowFactor,
+                lagMillis,
+                loseNextAnswers,
+                value,
+                ignoreFencing,
+                cutStreamsAfterTokens);
     }
 
     /**
-     * Returns a copy that ignores fencing numbers or not.
+     * Returns a copy with fencing numbers ignored or not.
      *
      * @param value whether old fencing numbers are accepted
      * @return the copy
@@ -152,6 +194,7 @@
                 outage,
                 throttle,
                 slowMillis,
+                slowFactor,
                 lagMillis,
                 loseNextAnswers,
                 loseOneAnswerIn,
@@ -160,13 +203,21 @@
     }
 
     /**
-     * Returns a copy that cuts streams.
+     * Returns a copy with another length of cut streams.
      *
      * @param value number of tokens after which a stream is cut, or 0 for never
      * @return the copy
      */
     public Faults withCutStreamsAfterTokens(int value) {
         return new Faults(
-                outage, throttle, slowMillis, lagMillis, loseNextAnswers, loseOneAnswerIn, ignoreFencing, value);
+                outage,
+                throttle,
+                slowMillis,
+                slowFactor,
+                lagMillis,
+                loseNextAnswers,
+                loseOneAnswerIn,
+                ignoreFencing,
+                value);
     }
 }
--- a/standin/src/main/java/org/coltsfootquay/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/platform/PlatformStandIn.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.LongSupplier;
 import org.coltsfootquay.standin.fault.Counters;
 import org.coltsfootquay.standin.fault.FaultHandler;
@@ -38,7 +39,10 @@
     private final RateLimit reads;
     private final FaultSwitches faults = new FaultSwitches();
     private final Counters counters = new Counters();
+    private final EventLoop loop = SharedEventLoops.next();
+    private final FaultHandler handler;
     private final StandInServer server;
+    private final List<PlatformGate> gates = new CopyOnWriteArrayList<>();
 
     /** Creates a platform with default settings and the system's clock. */
     public PlatformStandIn() {
@@ -57,8 +61,8 @@
         this.vms = new VmRegistry(nanoClock);
         this.writes = new RateLimit(settings.writesPerSecond(), nanoClock);
         this.reads = new RateLimit(settings.readsPerSecond(), nanoClock);
-        EventLoop loop = SharedEventLoops.next();
-        this.server = new StandInServer(loop, new FaultHandler(loop, faults, counters, Map.of(), this::handle));
+        this.handler = new FaultHandler(loop, faults, counters, Map.of(), this::handle);
+        this.server = new StandInServer(loop, handler);
     }
 
     /**
@@ -137,6 +141,18 @@
         return table.changes(List.of(prefix), 0);
     }
 
+    /**
+     * Opens a further address of this platform with fault switches of its own, so that the platform can be out of reach
+     * for some callers only.
+     *
+     * @return a gate that has started on any free port; closed with this stand-in
+     */
+    public PlatformGate openGate() {
+        PlatformGate gate = new PlatformGate(loop, handler);
+        gates.add(gate);
+        return gate;
+    }
+
     /** Breaks all connections of callers. */
     public void breakConnections() {
         server.breakConnections();
@@ -146,6 +162,7 @@
     @Override
     public void close() {
         server.close();
+        gates.forEach(PlatformGate::close);
     }
 
     private void handle(Exchange exchange) {
--- a/standin/src/test/java/org/coltsfootquay/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/engine/EngineStandInTest.java
@@ -168,6 +168,47 @@
         assertTrue(engine.orders().isEmpty());
     }
 
+    @Test
+    void importedCacheIsUsed() throws Exception {
+        EngineStandIn source = engine(EngineSettings.fast());
+        EngineStandIn target = engine(EngineSettings.fast());
+        StandInClient from = new StandInClient(source.address());
+        StandInClient to = new StandInClient(target.address());
+        String prompt = "wire ".repeat(1_000);
+        stream(from, "r1", body(prompt, 1, true));
+
+        String exported = from.send("GET", "/v1/kv/r1", "").body();
+        assertEquals(204, to.send("PUT", "/v1/kv/r1", exported).statusCode());
+        stream(to, "r2", body(prompt, 1, true));
+
+        assertEquals(1_024, target.counters().value("cachedTokens"));
+    }
+
+    @Test
+    void loadReportLags() throws Exception {
+        EngineStandIn engine = engine(EngineSettings.fast());
+        StandInClient client = new StandInClient(engine.address());
+        engine.faults().turn(faults -> faults.withLagMillis(60_000));
+        var unused = client.sendAsync("POST", "/v1/chat/completions", body("one", 5_000, true), "X-Request-Id", "r1");
+        client.await("/v1/stats", stats -> stats.path("running").asInt() == 1);
+
+        assertEquals(0, client.get("/v1/load").path("running").asInt());
+        engine.faults().clear();
+        client.await("/v1/load", load -> load.path("running").asInt() == 1);
+    }
+
+    @Test
+    void abandonedStreamFreesItsSlot() throws Exception {
+        EngineStandIn engine = engine(EngineSettings.fast());
+        StandInClient client = new StandInClient(engine.address());
+        engine.faults().turn(faults -> faults.withCutStreamsAfterTokens(1));
+
+        stream(client, "r1", body("left", 5_000, true));
+
+        client.await("/v1/stats", stats -> stats.path("abandoned").asInt() == 1);
+        assertEquals(0, client.get("/v1/stats").path("running").asInt());
+    }
+
     private static int fenced(StandInClient client, String number) throws Exception {
         return client.send("POST", "/v1/chat/completions", body("f", 1, false), "X-Fencing-Number", number)
                 .statusCode();
--- a/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/platform/PlatformStandInTest.java
@@ -8,7 +8,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.coltsfootquay.standin.fault.Outage;
 import org.coltsfootquay.standin.http.StandInClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -112,6 +114,38 @@
         assertTrue(answer.body().contains("slowMillis"), answer.body());
     }
 
+    @Test
+    void outageOfAGateConcernsItsCallersOnly() throws Exception {
+        PlatformGate gate = platform.openGate();
+        StandInClient behind = new StandInClient(gate.address());
+        batch("atomic", "{\"op\":\"put\",\"key\":\"a\",\"value\":{},\"condition\":{\"type\":\"always\"}}");
+        assertEquals(200, behind.send("GET", "/v1/table/row?key=a", "").statusCode());
+
+        gate.faults().turn(faults -> faults.withOutage(Outage.UNAVAILABLE));
+
+        assertEquals(503, behind.send("GET", "/v1/table/row?key=a", "").statusCode());
+        assertEquals("a", get("/v1/table/row?key=a").path("key").asText());
+    }
+
+    @Test
+    void rateLimitThrottlesWithoutAnEffect() throws Exception {
+        try (PlatformStandIn limited = new PlatformStandIn(new PlatformSettings(0, 2, 0), nanos::get).start()) {
+            StandInClient caller = new StandInClient(limited.address());
+            String put = "{\"mode\":\"atomic\",\"operations\":[{\"op\":\"put\",\"key\":\"%s\",\"value\":{},"
+                    + "\"condition\":{\"type\":\"always\"}}]}";
+            for (String key : List.of("a", "b", "c")) {
+                caller.send("POST", "/v1/table/batch", String.format(put, key));
+            }
+
+            assertEquals(2, limited.rows("").size());
+            nanos.addAndGet(500_000_000L);
+            assertEquals(
+                    200,
+                    caller.send("POST", "/v1/table/batch", String.format(put, "d"))
+                            .statusCode());
+        }
+    }
+
     @Test
     void objectNeverChanges() throws Exception {
         assertEquals(204, putObject("one").statusCode());
