Keep the token interval of the engine stand-in free of drift

Cause: late timers added up, 52 ms instead of 50 ms between tokens. Change: each step is counted from when the last one was due.

--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
@@ -31,6 +31,7 @@
     private final Set<EngineStream> decoding = new LinkedHashSet<>();
     private int inFlight;
     private boolean stepScheduled;
+    private long stepDueNanos;
     private long prefillFreeNanos;
     private long collapsedUntilNanos;
     private int incarnation;
@@ -184,7 +185,13 @@
             return;
         }
         stepScheduled = true;
-        schedule(this::step, intervalNanos(System.nanoTime()));
+        long now = System.nanoTime();
+        long interval = intervalNanos(now);
+        // Counted from when the last step was due, so that late timers do not add up.
+        long late = now - stepDueNanos;
+        long delay = late >= 0 && late < interval ? interval - late : interval;
+        stepDueNanos = now + delay;
+        schedule(this::step, delay);
     }
 
     private void step() {
