--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.control.ControlPlane;
@@ -26,11 +27,13 @@
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.PeerContact;
 import org.coltsfootquay.decision.membership.WorkPermit;
-import org.coltsfootquay.decision.ownership.HandoverListener;
 import org.coltsfootquay.decision.ownership.OwnedServers;
 import org.coltsfootquay.decision.ownership.OwnerMap;
 import org.coltsfootquay.decision.placement.TwoChoiceSelector;
 import org.coltsfootquay.decision.retry.RetryBudget;
+import org.coltsfootquay.decision.shutdown.ShutdownController;
+import org.coltsfootquay.decision.shutdown.ShutdownSettings;
+import org.coltsfootquay.decision.shutdown.ShutdownState;
 import org.coltsfootquay.decision.timeline.EventKind;
 import org.coltsfootquay.decision.timeline.TimelineEvent;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -85,12 +88,14 @@
     private final OwnerRouter owner;
     private final RecordService records;
     private final ConfigurationExchange configurations;
+    private final TotalsExchange totals;
     private final AtomicLong lastHeardNanos = new AtomicLong(Long.MIN_VALUE / 2);
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile HttpFrontEnd frontEnd;
     private volatile HttpRequestHandler routes;
     private ControlPlane plane;
+    private ShutdownController shutdown;
     private volatile String callerAddress = "";
     private volatile String peerAddress = "";
     private volatile boolean stopping;
@@ -137,6 +142,8 @@
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
                 frames::send,
                 System::nanoTime);
+        this.totals =
+                new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
         this.entry = entryRouter();
         frames.connect(network, entry, owner, this::controlFrame);
         registerGauges();
@@ -180,16 +187,8 @@
         control.execute(() -> {
             if (!stopping) {
                 stopping = true;
-                timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPING, "router", settings.id()));
-                new PlannedStop(
-                                control.timer(),
-                                plane,
-                                entry,
-                                owner,
-                                settings.timing()
-                                        .addressKeepTime()
-                                        .plus(settings.timing().pollPeriod()))
-                        .begin(this::stopEnded);
+                owner.beginStop();
+                shutdown.begin(this::stopEnded);
             }
         });
         return stopped;
@@ -198,15 +197,10 @@
     /** Ends everything at once, as a crash does; the rows in the store stay until they expire. */
     public void kill() {
         stopping = true;
-        control.stop();
-        owner.close();
-        network.close();
-        backend.close();
         if (frontEnd != null) {
             frontEnd.close();
         }
-        platform.close().run();
-        var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
+        close();
     }
 
     /**
@@ -306,22 +300,31 @@
                 invariants,
                 System::nanoTime);
         EntryParts parts = new EntryParts(environment, backend, calls, frames, records, metrics, System::nanoTime);
-        return new EntryRouter(
-                parts,
-                startMillis,
-                settings.limits().maxRequests(),
-                () -> blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0
-                        ? Optional.of("no configuration is known yet")
-                        : Optional.empty());
+        return new EntryRouter(parts, startMillis, settings.limits().maxRequests(), this::admissionObstacle);
+    }
+
+    private Optional<String> admissionObstacle() {
+        if (blackboard.read(ConfigurationTopic.IN_FORCE).version() == 0) {
+            return Optional.of("no configuration is known yet");
+        }
+        ShutdownState.Phase phase = blackboard.read(ShutdownState.TOPIC).phase();
+        return phase.compareTo(ShutdownState.Phase.DRAINING) >= 0
+                ? Optional.of("it has ended its planned stop")
+                : Optional.empty();
+    }
+
+    private void handedOver(ServerName server, RouterId newOwner, long fencingNumber) {
+        owner.handover(server, fencingNumber, frame -> frames.send(newOwner, frame));
     }
 
     private ControlPlane controlPlane() {
         ControlPorts ports = new ControlPorts(
                 platform.table(),
                 platform.objects(),
+                platform.vms(),
                 new JsonConfigurationCodec(),
                 configurations,
-                HandoverListener.NONE,
+                this::handedOver,
                 timeline);
         return new ControlPlane(
                 ports,
@@ -348,6 +351,15 @@
                 entry);
     }
 
+    private ShutdownSettings shutdownSettings() {
+        ShutdownSettings standard = ShutdownSettings.standard();
+        return new ShutdownSettings(
+                settings.timing().addressKeepTime(),
+                settings.timing().pollPeriod().multipliedBy(11).dividedBy(10),
+                standard.handoverPatience(),
+                standard.checkPeriod());
+    }
+
     private HttpLimits httpLimits() {
         HttpLimits standard = HttpLimits.standard();
         return new HttpLimits(
@@ -363,12 +375,15 @@
     private void startControl() {
         TimerService timer = control.timer();
         plane = controlPlane();
+        shutdown = new ShutdownController(
+                plane, () -> entry.requests() + owner.waiting(), timer, blackboard, timeline, shutdownSettings());
         routes = apiRoutes();
         configurations.connect(plane.configuration());
         blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationInForce);
         blackboard.cell(OwnedServers.TOPIC).subscribe(owner::ownedServers);
         blackboard.cell(ServiceTotals.TOPIC).subscribe(owner::totals);
         records.start();
+        totals.start();
         plane.start();
         ServerWatch watch =
                 new ServerWatch(settings.id(), blackboard, calls, owner, frames, new SplittableRandom(startMillis));
@@ -384,9 +399,14 @@
     }
 
     private void controlFrame(RouterId from, Frame frame) {
-        if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
-            control.execute(() -> configurations.received(from, frame.getConfigurationNotice()));
-        }
+        // The tree and the configuration belong to the control thread; what is not known here is ignored.
+        control.execute(() -> {
+            if (frame.getBodyCase() == Frame.BodyCase.CONFIGURATION_NOTICE) {
+                configurations.received(from, frame.getConfigurationNotice());
+            } else {
+                totals.received(from, frame);
+            }
+        });
     }
 
     private void checkReady() {
@@ -416,15 +436,16 @@
 
     private void stopEnded() {
         invariants.stops().exiting();
-        timeline.record(TimelineEvent.of(EventKind.ROUTER_STOPPED, "router", settings.id()));
-        var unused = frontEnd.drain().thenRun(() -> {
-            control.stop();
-            owner.close();
-            network.close();
-            backend.close();
-            platform.close().run();
-            var ended = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
-        });
+        var unused = frontEnd.drain().thenRun(this::close);
+    }
+
+    private void close() {
+        control.stop();
+        owner.close();
+        network.close();
+        backend.close();
+        platform.close().run();
+        var unused = ChannelUtils.shutDown(eventLoops).thenRun(() -> stopped.complete(null));
     }
 
     private void registerGauges() {
