Stall and break running work during outages of stand-ins

Cause: an outage concerned new requests only, so streams of an engine that was cut off went on. Change: during a silent outage streams stall, during a broken one they lose their connection; answers of application servers are kept back. Conclusion: an outage looks to callers like a partition.

--- a/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
@@ -11,6 +11,7 @@
 import org.coltsfootquay.standin.fault.Counters;
 import org.coltsfootquay.standin.fault.FaultHandler;
 import org.coltsfootquay.standin.fault.FaultSwitches;
+import org.coltsfootquay.standin.fault.Outage;
 import org.coltsfootquay.standin.http.Exchange;
 import org.coltsfootquay.standin.http.JsonUtils;
 import org.coltsfootquay.standin.http.SharedEventLoops;
@@ -224,7 +225,12 @@
         counters.increment("completed");
         coldStart.completed();
         load.note(System.nanoTime(), inFlight, 0);
-        if (faults.losesAnswer()) {
+        Outage outage = faults.current().outage();
+        if (outage == Outage.SILENT) {
+            counters.increment("answersLost");
+            return;
+        }
+        if (outage == Outage.BROKEN || faults.losesAnswer()) {
             counters.increment("answersLost");
             exchange.abort();
             return;
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineCore.java
@@ -13,6 +13,7 @@
 import org.coltsfootquay.standin.backend.LoadHistory;
 import org.coltsfootquay.standin.fault.Counters;
 import org.coltsfootquay.standin.fault.FaultSwitches;
+import org.coltsfootquay.standin.fault.Outage;
 
 /** Continuous batching of an engine stand-in; used on one event loop. */
 final class EngineCore {
@@ -176,7 +177,7 @@
         cache.store(stream.prefixHashes(), System.nanoTime());
         decoding.add(stream);
         noteLoad(System.nanoTime());
-        produce(stream);
+        produceUnlessOut(List.of(stream));
         scheduleStep();
     }
 
@@ -196,12 +197,21 @@
 
     private void step() {
         stepScheduled = false;
-        for (EngineStream stream : new ArrayList<>(decoding)) {
-            if (!stream.done()) {
+        produceUnlessOut(new ArrayList<>(decoding));
+        scheduleStep();
+    }
+
+    /** Produces one token of each stream; during an outage streams stall or lose their connection. */
+    private void produceUnlessOut(List<EngineStream> streams) {
+        Outage outage = faults.current().outage();
+        for (EngineStream stream : streams) {
+            if (outage == Outage.BROKEN && stream.hasCaller()) {
+                stream.abortCaller();
+                callerLeft(stream);
+            } else if (outage != Outage.SILENT && !stream.done()) {
                 produce(stream);
             }
         }
-        scheduleStep();
     }
 
     private void produce(EngineStream stream) {
--- a/standin/src/main/java/org/coltsfootquay/standin/engine/EngineSettings.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/engine/EngineSettings.java
@@ -123,6 +123,35 @@
                 checksFencing);
     }
 
+    /**
+     * Returns a copy that fails when it is given too much while cold, or refuses.
+     *
+     * @param value whether it fails
+     * @return the copy
+     */
+    public EngineSettings withColdFails(boolean value) {
+        return new EngineSettings(
+                knee,
+                capacity,
+                collapseAt,
+                collapseMillis,
+                tokenIntervalMillis,
+                growthPerStream,
+                prefillTokensPerSecond,
+                firstTokenMillis,
+                cacheBlocks,
+                cacheEventLagMillis,
+                cacheEventGapEvery,
+                loadLagMillis,
+                coldMillis,
+                coldBearable,
+                coldGrowth,
+                coldSlowdown,
+                value,
+                holdMillis,
+                checksFencing);
+    }
+
     /**
      * Returns a copy that checks fencing numbers or not.
      *
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/Outage.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/Outage.java
@@ -1,6 +1,11 @@
 package org.coltsfootquay.standin.fault;
 
-/** Ways in which a stand-in can be out of service. */
+/**
+ * Ways in which a stand-in can be out of service.
+ *
+ * <p>Work that an engine or application server had accepted goes on; {@link #SILENT} and {@link #BROKEN} keep its
+ * results from the callers.
+ */
 public enum Outage {
     /** The stand-in works. */
     NONE,
--- a/standin/src/test/java/org/coltsfootquay/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/org/coltsfootquay/standin/engine/EngineStandInTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
+import org.coltsfootquay.standin.fault.Outage;
 import org.coltsfootquay.standin.http.JsonUtils;
 import org.coltsfootquay.standin.http.StandInClient;
 import org.junit.jupiter.api.AfterEach;
@@ -116,6 +117,39 @@
         assertFalse(first.get().body().contains("[DONE]"));
     }
 
+    @Test
+    void coldEngineThatFailsTakesItsOtherRequestsDown() throws Exception {
+        EngineStandIn engine = engine(EngineSettings.fast().withCold(60_000, 1).withColdFails(true));
+        StandInClient client = new StandInClient(engine.address());
+        CompletableFuture<HttpResponse<String>> first =
+                client.sendAsync("POST", "/v1/chat/completions", body("one", 500, false));
+        client.await("/v1/stats", stats -> stats.path("running").asInt() == 1);
+
+        assertEquals(
+                500,
+                client.send("POST", "/v1/chat/completions", body("two", 2, false))
+                        .statusCode());
+        assertEquals(500, first.get().statusCode());
+        assertEquals(0, client.get("/v1/stats").path("running").asInt());
+    }
+
+    @Test
+    void streamStallsDuringASilentOutageAndGoesOnAfterwards() throws Exception {
+        EngineStandIn engine = engine(EngineSettings.fast());
+        StandInClient client = new StandInClient(engine.address());
+        CompletableFuture<HttpResponse<String>> answer =
+                client.sendAsync("POST", "/v1/chat/completions", body("stall", 200, true));
+        client.await("/v1/stats", stats -> stats.path("outputTokens").asInt() > 5);
+
+        engine.faults().turn(faults -> faults.withOutage(Outage.SILENT));
+        long stalledAt = client.get("/v1/stats").path("outputTokens").asLong();
+        assertTrue(stalledAt < 200, "the answer was complete before the outage");
+        assertEquals(stalledAt, client.get("/v1/stats").path("outputTokens").asLong());
+        engine.faults().clear();
+
+        assertTrue(answer.get().body().contains("[DONE]"));
+    }
+
     @Test
     void overloadedEngineFails() throws Exception {
         EngineStandIn engine = engine(EngineSettings.fast());
