Carry the digest of routers without the store through the aggregation tree

Cause: a holder whose own row was deleted took the only other router for a fleet of one and kept its whole share. Change: a confirmed outage requires the own row; the digest of routers without the store travels in usage reports and totals next to their count. Conclusion: the daemon feeds the share rule with identities as the simulation does.

--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
@@ -16,6 +16,7 @@
  * @param loads owners with the longest queues and with free slots, by service
  * @param routers routers that the totals cover
  * @param routersWithoutStore those of them that cannot reach the store
+ * @param withoutStoreDigest sum of the digests of those that cannot reach the store
  * @param configurationVersion newest configuration version in the fleet
  */
 public record FleetTotals(
@@ -27,6 +28,7 @@
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads,
         int routers,
         int routersWithoutStore,
+        long withoutStoreDigest,
         long configurationVersion) {
 
     /** Copies the collections. */
@@ -42,7 +44,7 @@
      * @return empty totals with version 0
      */
     public static FleetTotals none() {
-        return new FleetTotals(0, 0, 0, List.of(), Map.of(), Map.of(), 0, 0, 0);
+        return new FleetTotals(0, 0, 0, List.of(), Map.of(), Map.of(), 0, 0, 0, 0);
     }
 
     /**
@@ -54,7 +56,16 @@
      */
     public FleetTotals with(long sequence, long age) {
         return new FleetTotals(
-                version, sequence, age, offsets, rates, loads, routers, routersWithoutStore, configurationVersion);
+                version,
+                sequence,
+                age,
+                offsets,
+                rates,
+                loads,
+                routers,
+                routersWithoutStore,
+                withoutStoreDigest,
+                configurationVersion);
     }
 
     /**
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
@@ -60,6 +60,7 @@
     private long periodNanos = SHORTEST_PERIOD_NANOS;
     private long dueNanos;
     private boolean storeReachable = true;
+    private long ownDigest;
     private long configurationVersion;
     private boolean started;
 
@@ -122,9 +123,11 @@
      * Sets what this router knows about itself.
      *
      * @param reachable whether the store can be reached
+     * @param digest digest of this router, reported while the store cannot be reached
      * @param version configuration version in force
      */
-    public void local(boolean reachable, long version) {
+    public void local(boolean reachable, long digest, long version) {
+        ownDigest = digest;
         storeReachable = reachable;
         configurationVersion = version;
     }
@@ -297,6 +300,7 @@
         subtree.backlogged.addAll(localBacklogged);
         subtree.loads.add(localLoads);
         subtree.routersWithoutStore = storeReachable ? 0 : 1;
+        subtree.withoutStoreDigest = storeReachable ? 0 : ownDigest;
         subtree.version = configurationVersion;
         subtree.oldestNanos = now;
         children.values().forEach(subtree::add);
@@ -322,6 +326,7 @@
                 subtree.loads.selection(),
                 subtree.routers,
                 subtree.routersWithoutStore,
+                subtree.withoutStoreDigest,
                 subtree.version);
         totalsMadeNanos = oldestNanos;
     }
@@ -393,6 +398,7 @@
         private final OwnerLoads loads = new OwnerLoads();
         private int routers = 1;
         private int routersWithoutStore;
+        private long withoutStoreDigest;
         private long version;
         private long oldestNanos;
 
@@ -401,6 +407,7 @@
             loads.add(child.last().loads());
             routers += child.last().routersInSubtree();
             routersWithoutStore += child.last().routersWithoutStore();
+            withoutStoreDigest += child.last().withoutStoreDigest();
             version = Math.max(version, child.last().configurationVersion());
             oldestNanos = Math.min(oldestNanos, child.dataNanos());
         }
@@ -414,6 +421,7 @@
                     loads.selection(),
                     routers,
                     routersWithoutStore,
+                    withoutStoreDigest,
                     version,
                     (now - oldestNanos) / NANOS_PER_MILLI);
         }
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/UsageReport.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/UsageReport.java
@@ -17,6 +17,7 @@
  * @param loads owners with the longest queues and with free slots, by service
  * @param routersInSubtree routers that the report covers
  * @param routersWithoutStore those of them that cannot reach the store
+ * @param withoutStoreDigest sum of the digests of those that cannot reach the store
  * @param configurationVersion newest configuration version in the subtree
  * @param ageMillis age of the least recent part of the report
  */
@@ -27,6 +28,7 @@
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads,
         int routersInSubtree,
         int routersWithoutStore,
+        long withoutStoreDigest,
         long configurationVersion,
         long ageMillis) {
 
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
@@ -108,7 +108,7 @@
         this.self = ArgumentUtils.requireValue(self, "membership settings");
         this.settings = ArgumentUtils.requireValue(settings, "settings");
         this.rows = new ServerRows(watcher);
-        this.shareRule = new ShareRule(blackboard, watcher, self.region(), settings.outageReportAge());
+        this.shareRule = new ShareRule(blackboard, watcher, self.id(), self.region(), settings.outageReportAge());
         this.claims = new ClaimPlanner(watcher, rows, established, gone, timer, blackboard, random, self, settings);
         this.writer = new ServerRowWriter(store, watcher, timer, settings);
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RegionName;
+import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MemberRow;
 import org.coltsfootquay.decision.membership.MembershipView;
@@ -22,10 +23,12 @@
 
     private final Blackboard blackboard;
     private final StoreWatcher watcher;
+    private final RouterId self;
     private final RegionName region;
     private final Duration reportAge;
 
-    ShareRule(Blackboard blackboard, StoreWatcher watcher, RegionName region, Duration reportAge) {
+    ShareRule(Blackboard blackboard, StoreWatcher watcher, RouterId self, RegionName region, Duration reportAge) {
+        this.self = self;
         this.watcher = watcher;
         this.blackboard = blackboard;
         this.region = region;
@@ -39,20 +42,24 @@
 
     /**
      * Tells whether nobody has claimed since this router's lease expired and nobody can claim now: no router of the
-     * region reaches the store, and none had settled contact after the expiry.
+     * region reaches the store, and none had settled contact after the expiry. A router whose own row was deleted may
+     * have lost its servers already.
      */
     boolean outageConfirmed(long expiryNanos, long now) {
         if (blackboard.read(StoreContact.TOPIC).reachable()) {
             return false;
         }
         List<Member> known = knownRouters();
+        if (known.stream().noneMatch(member -> member.id().equals(self))) {
+            return false;
+        }
         long digest = known.stream()
                 .mapToLong(member -> RegionStoreReport.digest(member.id(), member.incarnation()))
                 .sum();
         RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
         boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
         boolean all = report.routersWithoutStore() == report.routers() && report.withoutStoreDigest() == digest;
-        return known.size() <= 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
+        return known.size() == 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
     }
 
     /** Returns the routers of the region that have a row, also those whose row was found expired. */
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -14,6 +14,7 @@
 import org.coltsfootquay.decision.fairness.FleetTotals;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.TotalsNode;
+import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.RegionStoreReport;
@@ -32,6 +33,7 @@
     private final Blackboard blackboard;
     private final OwnerRouter owner;
     private final OwnerPort peers;
+    private final RouterId self;
     private final RegionName region;
     private final TotalsNode node;
     private final SettledContact settled = new SettledContact();
@@ -49,6 +51,7 @@
         this.blackboard = blackboard;
         this.owner = owner;
         this.peers = peers;
+        this.self = self;
         this.region = region;
         this.node = new TotalsNode(self, session);
     }
@@ -104,6 +107,7 @@
         settled.own(contact.lastSettledNanos());
         node.local(
                 contact.reachable(),
+                RegionStoreReport.digest(self, blackboard.read(LeaseState.TOPIC).incarnation()),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
@@ -131,6 +135,7 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
+                        fleet.withoutStoreDigest(),
                         settled.lastSettledNanos(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -28,6 +28,7 @@
                 .setIncarnation(report.session())
                 .setRoutersInSubtree(report.routersInSubtree())
                 .setRoutersWithoutStore(report.routersWithoutStore())
+                .setWithoutStoreDigest(report.withoutStoreDigest())
                 .setConfigurationVersion(report.configurationVersion())
                 .setIntervalMillis(report.ageMillis())
                 .setSettledAgeMillis(settledAgeMillis)
@@ -56,6 +57,7 @@
                 loads(message.getLoadsList()),
                 message.getRoutersInSubtree(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion(),
                 message.getIntervalMillis());
     }
@@ -67,6 +69,7 @@
                 .setAgeMillis(totals.ageMillis())
                 .setRouters(totals.routers())
                 .setRoutersWithoutStore(totals.routersWithoutStore())
+                .setWithoutStoreDigest(totals.withoutStoreDigest())
                 .setConfigurationVersion(totals.configurationVersion())
                 .setSettledAgeMillis(settledAgeMillis)
                 .addAllLoads(loads(totals.loads()));
@@ -101,6 +104,7 @@
                 loads(message.getLoadsList()),
                 message.getRouters(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion());
     }
 
