--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/FleetTotals.java
@@ -16,7 +16,7 @@
  * @param loads owners with the longest queues and with free slots, by service
  * @param routers routers that the totals cover
  * @param routersWithoutStore those of them that cannot reach the store
- * @param withoutStoreDigest sum of the digests of the routers that cannot reach the store
+ * @param withoutStoreDigest sum of the digests of those that cannot reach the store
  * @param configurationVersion newest configuration version in the fleet
  */
 public record FleetTotals(
--- a/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/fairness/TotalsNode.java
@@ -62,8 +62,8 @@
 
     private long periodNanos = SHORTEST_PERIOD_NANOS;
     private long dueNanos;
-    private long ownDigest;
     private boolean storeReachable = true;
+    private long ownDigest;
     private long configurationVersion;
     private boolean started;
 
@@ -126,9 +126,11 @@
      * Sets what this router knows about itself.
      *
      * @param reachable whether the store can be reached
+     * @param digest digest of this router, reported while the store cannot be reached
      * @param version configuration version in force
      */
-    public void local(boolean reachable, long version) {
+    public void local(boolean reachable, long digest, long version) {
+        ownDigest = digest;
         storeReachable = reachable;
         configurationVersion = version;
     }
@@ -286,15 +288,6 @@
         return root != null;
     }
 
-    /**
-     * Sets the digest by which reports name this router while it cannot reach the store.
-     *
-     * @param digest digest of the router and its incarnation
-     */
-    public void ownDigest(long digest) {
-        this.ownDigest = digest;
-    }
-
     /**
      * Returns the present parent.
      *
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.RegionName;
@@ -15,6 +14,7 @@
 import org.coltsfootquay.decision.fairness.FleetTotals;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.TotalsNode;
+import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.RegionStoreReport;
@@ -51,10 +51,9 @@
         this.blackboard = blackboard;
         this.owner = owner;
         this.peers = peers;
-        this.region = region;
         this.self = self;
+        this.region = region;
         this.node = new TotalsNode(self, session);
-        node.ownDigest(RegionStoreReport.digest(self, session));
     }
 
     void start() {
@@ -83,8 +82,6 @@
     }
 
     private void membersChanged(MembershipView view) {
-        Optional.ofNullable(view.members().get(self))
-                .ifPresent(own -> node.ownDigest(RegionStoreReport.digest(self, own.incarnation())));
         Set<RouterId> otherRoots = new HashSet<>();
         view.members().values().stream()
                 .map(Member::region)
@@ -110,6 +107,7 @@
         settled.own(contact.lastSettledNanos());
         node.local(
                 contact.reachable(),
+                RegionStoreReport.digest(self, blackboard.read(LeaseState.TOPIC).incarnation()),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
