Probe other owners on change, drain usage at the node's period

Change: ProbePlanner sends the first probe at once after a change and the next one soon after a useful answer, and probes blindly only once a second when idle; usage is drained at the period of the node instead of each 50 ms; the record timer runs only while batches wait. requestsGoOnAfterAnOwnerCrashed crashes the router that joined last: the control rule claims from an earlier one only 13 s after its own join, so the test failed or passed by the order of the joins.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
@@ -44,6 +44,7 @@
     private final RecordBatcher batcher = new RecordBatcher();
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private long nextCorrelation;
+    private boolean scheduled;
 
     private record Waiting(RouterId batching, Consumer<WriteResult> callback, long sinceNanos) {}
 
@@ -60,13 +61,8 @@
         this.routers = routers;
     }
 
-    /** Starts the batches; called on the control thread. */
+    /** Starts to forget writes without an answer; called on the control thread. */
     void start() {
-        control.timer().every("record batches", RecordBatcher.PERIOD.dividedBy(5), () -> {
-            if (batcher.isBusy()) {
-                perform(batcher.timePassed(now()));
-            }
-        });
         control.timer()
                 .every(
                         "forgotten records",
@@ -131,6 +127,17 @@
         lost.forEach(correlation -> complete(correlation, WriteResult.unknown()));
     }
 
+    /** Lets the batcher send what is due later, for as long as it has something to do. */
+    private void continueLater() {
+        if (!scheduled && batcher.isBusy()) {
+            scheduled = true;
+            control.timer().after("record batches", RecordBatcher.PERIOD.dividedBy(5), () -> {
+                scheduled = false;
+                perform(batcher.timePassed(now()));
+            });
+        }
+    }
+
     private void perform(List<RecordBatcher.Action> actions) {
         for (RecordBatcher.Action action : actions) {
             if (action instanceof RecordBatcher.Action.WriteBatch batch) {
@@ -140,6 +147,7 @@
                 reply(reply.origin(), reply.correlation(), reply.result());
             }
         }
+        continueLater();
     }
 
     private void reply(RouterId origin, long correlation, WriteResult result) {
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -72,7 +72,6 @@
 public final class RouterDaemon {
 
     private static final EventLog LOG = EventLog.of(RouterDaemon.class);
-    private static final Duration PROBE_PERIOD = Duration.ofMillis(250);
     private static final Duration PROGRESS_PERIOD = Duration.ofSeconds(1);
     private static final Duration READY_CHECK_PERIOD = Duration.ofMillis(20);
 
@@ -108,6 +107,7 @@
     private volatile HttpRequestHandler routes;
     private ControlPlane plane;
     private ShutdownController shutdown;
+    private TimerService.Subscription readyCheck;
     private volatile String callerAddress = "";
     private volatile String peerAddress = "";
     private volatile boolean stopping;
@@ -152,6 +152,7 @@
                 service -> new ServiceDispatcher(service, settings.id(), options.policy()),
                 frames::send,
                 new OwnerChecks(settings.id(), blackboard, timeline, metrics, monitor),
+                new TotalsProbeTargets(settings.id(), blackboard),
                 System::nanoTime);
         this.totals =
                 new TotalsExchange(control, blackboard, owner, frames, settings.id(), settings.region(), startMillis);
@@ -439,12 +440,9 @@
         records.start();
         totals.start();
         plane.start();
-        ServerWatch watch =
-                new ServerWatch(settings.id(), blackboard, calls, owner, frames, new SplittableRandom(startMillis));
-        timer.every("load", settings.timing().loadPollPeriod(), watch::pollLoads);
-        timer.every("probe", PROBE_PERIOD, watch::probe);
+        timer.every("load", settings.timing().loadPollPeriod(), new LoadPolling(blackboard, calls, owner)::poll);
         timer.every("progress", PROGRESS_PERIOD, entry::flushProgress);
-        timer.every("ready", READY_CHECK_PERIOD, this::checkReady);
+        readyCheck = timer.every("ready", READY_CHECK_PERIOD, this::checkReady);
     }
 
     private void configurationInForce(FleetConfiguration configuration) {
@@ -485,6 +483,7 @@
     private void checkReady() {
         if (!ready.isDone() && notReadyReason().isEmpty()) {
             timeline.record(TimelineEvent.of(EventKind.ROUTER_READY, "router", settings.id()));
+            readyCheck.cancel();
             ready.complete(null);
         }
     }
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -25,8 +25,8 @@
 /** This router's part in the aggregation tree; runs on the control thread. */
 final class TotalsExchange {
 
-    /** Shorter than the shortest period of a node, which decides itself when a report is due. */
-    private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
+    /** Makes sure that the period of the node is over when its usage is drained. */
+    private static final Duration MARGIN = Duration.ofMillis(2);
 
     private final ControlThread control;
     private final Blackboard blackboard;
@@ -35,7 +35,6 @@
     private final RegionName region;
     private final TotalsNode node;
     private final SettledContact settled = new SettledContact();
-    private boolean draining;
 
     TotalsExchange(
             ControlThread control,
@@ -55,7 +54,7 @@
 
     void start() {
         blackboard.cell(MembershipView.TOPIC).subscribe(this::membersChanged);
-        control.timer().every("totals", CHECK_PERIOD, this::drain);
+        drainLater();
     }
 
     /** Takes a message of the tree; false when the frame is none. */
@@ -89,15 +88,15 @@
         node.otherRoots(otherRoots);
     }
 
-    private void drain() {
-        if (!draining) {
-            draining = true;
-            owner.drainUsage(usage -> control.execute(() -> exchange(usage)));
-        }
+    private void drainLater() {
+        control.timer()
+                .after(
+                        "totals",
+                        node.period().plus(MARGIN),
+                        () -> owner.drainUsage(usage -> control.execute(() -> exchange(usage))));
     }
 
     private void exchange(OwnerRouter.Usage usage) {
-        draining = false;
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
         usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
         StoreContact contact = blackboard.read(StoreContact.TOPIC);
@@ -117,6 +116,7 @@
                 .forEach((child, totals) ->
                         peers.send(child, TotalsFrames.frame(totals, settled.ageOfRegion(node.isRoot(), now()))));
         publish();
+        drainLater();
     }
 
     private void publish() {
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -38,6 +39,7 @@
     private final Function<ServiceName, ServiceDispatcher> factory;
     private final BiConsumer<RouterId, Frame> frames;
     private final OwnerObserver observer;
+    private final ProbePlanner probes;
     private final LongSupplier clock;
     private final DispatchThread thread;
     private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
@@ -54,6 +56,7 @@
      * @param factory creates the dispatcher of a service
      * @param frames sends a frame to an entry router; called on the dispatch thread
      * @param observer sees what the dispatchers decide
+     * @param targets other owners to probe
      * @param clock monotonic clock in nanoseconds
      */
     public OwnerRouter(
@@ -61,7 +64,9 @@
             Function<ServiceName, ServiceDispatcher> factory,
             BiConsumer<RouterId, Frame> frames,
             OwnerObserver observer,
+            ProbeTargets targets,
             LongSupplier clock) {
+        this.probes = new ProbePlanner(targets, new SplittableRandom(name.hashCode()));
         this.observer = observer;
         this.factory = factory;
         this.frames = frames;
@@ -327,14 +332,27 @@
     }
 
     private void idleOwner(ServiceName service, RouterId owner, int freeSlots, int queueLength) {
-        if (freeSlots > 0 && queueLength == 0) {
-            post(() -> {
-                ServiceDispatcher dispatcher = dispatchers.get(service);
-                if (dispatcher != null) {
+        post(() -> {
+            ServiceDispatcher dispatcher = dispatchers.get(service);
+            if (dispatcher != null) {
+                probes.replied(service, freeSlots, queueLength);
+                if (freeSlots > 0 && queueLength == 0) {
                     run(dispatcher, new DispatchEvent.IdleOwnerFound(owner, freeSlots));
                 }
-            });
-        }
+            }
+        });
+    }
+
+    private void sendProbe(ServiceName service, ServiceTotals.OwnerLoad load, RouterId target) {
+        frames.accept(
+                target,
+                Frame.newBuilder()
+                        .setProbe(Probe.newBuilder()
+                                .setService(service.value())
+                                .setFreeSlots(load.freeSlots())
+                                .setQueueLength(load.queueLength())
+                                .setOldestWaitMillis(load.oldestWaitMillis()))
+                        .build());
     }
 
     /** Attempts are unknown to all dispatchers but one, which ignore them; there are few services. */
@@ -348,7 +366,12 @@
         for (ServiceDispatcher dispatcher : dispatchers.values()) {
             run(dispatcher, new DispatchEvent.Ticked());
             observer.ticked(dispatcher.service(), dispatcher, now);
-            sum += dispatcher.load(now).queueLength();
+            ServiceTotals.OwnerLoad load = dispatcher.load(now);
+            sum += load.queueLength();
+            if (!stopping) {
+                probes.due(dispatcher.service(), load, now)
+                        .ifPresent(target -> sendProbe(dispatcher.service(), load, target));
+            }
         }
         waiting = sum;
         return sum > 0;
