--- a/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
@@ -56,6 +56,7 @@
     private RowValue written = RowValue.empty();
     private long joinRevision;
     private long releasedRevision;
+    private long publishedChanges = -1;
     private boolean leaving;
     private boolean writing;
     private boolean stopped;
@@ -171,6 +172,9 @@
         }
         if (phase == Phase.NONE || phase == Phase.REPLACED) {
             join();
+        } else if (!watcher.completeAsOf(
+                timer.nowNanos() - settings.renewalAfterPoll().toNanos())) {
+            writeSoon(jittered(RETRY_DELAY));
         } else if (!written.equals(content().toValue())) {
             send(new RowWrite.Put(
                     key,
@@ -208,7 +212,7 @@
 
     private void answered(RowWrite write, long sentNanos, WriteResult result) {
         writing = false;
-        if (result.outcome() != WriteOutcome.UNKNOWN) {
+        if (result.outcome() == WriteOutcome.APPLIED || result.current().isPresent()) {
             watcher.answered(sentNanos);
         }
         if (stopped) {
@@ -358,6 +362,10 @@
     }
 
     private void publishView() {
+        if (watcher.changeCount() == publishedChanges) {
+            return;
+        }
+        publishedChanges = watcher.changeCount();
         Map<RouterId, Member> members = new HashMap<>();
         for (Row row : watcher.rows(MemberRow.PREFIX)) {
             if (!row.expired()) {
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/OwnershipController.java
@@ -6,27 +6,28 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.coltsfootquay.decision.blackboard.Blackboard;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
-import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.configuration.BackendServer;
 import org.coltsfootquay.decision.configuration.ConfigurationTopic;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.configuration.Service;
 import org.coltsfootquay.decision.configuration.ServiceKind;
-import org.coltsfootquay.decision.configuration.Zone;
+import org.coltsfootquay.decision.membership.EstablishedMembers;
+import org.coltsfootquay.decision.membership.GoneRouters;
 import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MemberRow;
 import org.coltsfootquay.decision.membership.MembershipController;
 import org.coltsfootquay.decision.membership.MembershipSettings;
 import org.coltsfootquay.decision.membership.MembershipView;
+import org.coltsfootquay.decision.membership.ShareValidity;
 import org.coltsfootquay.decision.membership.WorkPermit;
 import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.StoreContact;
 import org.coltsfootquay.decision.store.StoreWatcher;
 import org.coltsfootquay.decision.store.TableStore;
 import org.coltsfootquay.decision.timeline.EventKind;
@@ -47,20 +48,24 @@
     private final TimerService timer;
     private final Blackboard blackboard;
     private final TimelineSink timeline;
-    private final RandomGenerator random;
+    private final ServerRows rows;
+    private final ClaimPlanner claims;
     private final MembershipSettings self;
     private final OwnershipSettings settings;
     private final ShareRule shareRule;
+    private final GoneRouters gone;
     private final ServerRowWriter writer;
     private final HandoverListener handovers;
 
-    private final Map<ServerName, Long> claimTimes = new HashMap<>();
     private final TreeMap<ServerName, Held> held = new TreeMap<>();
     private final Map<RouterId, Long> memberSince = new HashMap<>();
     private TimerService.Subscription subscription;
     private boolean leaving;
     private boolean stopped;
-    private long releasePendingRevision;
+    private FleetConfiguration evaluated = FleetConfiguration.none();
+    private MembershipView evaluatedView = new MembershipView(Map.of(), 0);
+    private LeaseState evaluatedLease;
+    private long lostRevision;
     private long releaseAtNanos;
     private OwnedServers published = new OwnedServers(List.of());
 
@@ -70,6 +75,8 @@
      * @param store table service
      * @param watcher copy of the watched rows
      * @param membership membership of this router, told when the router stopped using servers that others claimed
+     * @param established routers that surely know this one
+     * @param gone routers whose VM is gone
      * @param timer timer service
      * @param blackboard blackboard that receives {@link OwnerMap#TOPIC} and {@link OwnedServers#TOPIC}
      * @param timeline receiver of events
@@ -82,6 +89,8 @@
             TableStore store,
             StoreWatcher watcher,
             MembershipController membership,
+            EstablishedMembers established,
+            GoneRouters gone,
             TimerService timer,
             Blackboard blackboard,
             TimelineSink timeline,
@@ -91,14 +100,16 @@
             OwnershipSettings settings) {
         this.watcher = ArgumentUtils.requireValue(watcher, "watcher");
         this.membership = ArgumentUtils.requireValue(membership, "membership");
+        this.gone = ArgumentUtils.requireValue(gone, "gone routers");
         this.timer = ArgumentUtils.requireValue(timer, "timer");
         this.blackboard = ArgumentUtils.requireValue(blackboard, "blackboard");
         this.timeline = ArgumentUtils.requireValue(timeline, "timeline");
-        this.random = ArgumentUtils.requireValue(random, "random");
         this.handovers = ArgumentUtils.requireValue(handovers, "handover listener");
         this.self = ArgumentUtils.requireValue(self, "membership settings");
         this.settings = ArgumentUtils.requireValue(settings, "settings");
-        this.shareRule = new ShareRule(blackboard, self.region(), settings.outageReportAge());
+        this.rows = new ServerRows(watcher);
+        this.shareRule = new ShareRule(blackboard, watcher, self.region(), settings.outageReportAge());
+        this.claims = new ClaimPlanner(watcher, rows, established, gone, timer, blackboard, random, self, settings);
         this.writer = new ServerRowWriter(store, watcher, timer, settings);
     }
 
@@ -135,6 +146,7 @@
         if (subscription != null) {
             subscription.cancel();
         }
+        blackboard.write(OwnedServers.TOPIC, new OwnedServers(List.of()));
         writer.stop(callback);
     }
 
@@ -146,18 +158,24 @@
         FleetConfiguration configuration = blackboard.read(ConfigurationTopic.IN_FORCE);
         MembershipView view = blackboard.read(MembershipView.TOPIC);
         LeaseState lease = blackboard.read(LeaseState.TOPIC);
-        noteMembers(view, now);
-        Map<ServerName, Row> rows = new TreeMap<>();
-        for (Row row : watcher.rows(ServerRow.PREFIX)) {
-            rows.put(new ServerName(row.key().substring(ServerRow.PREFIX.length())), row);
+        boolean changed = rows.refresh() || !configuration.equals(evaluated) || !view.equals(evaluatedView);
+        if (changed || !lease.equals(evaluatedLease)) {
+            evaluated = configuration;
+            evaluatedView = view;
+            evaluatedLease = lease;
+            noteMembers(view, now);
+            updateHeld(lease, now);
+            OwnerMap map = OwnerMapUtils.ownerMap(rows, configuration, view);
+            if (!map.equals(blackboard.read(OwnerMap.TOPIC))) {
+                blackboard.write(OwnerMap.TOPIC, map);
+            }
+            findLostShares(lease, now);
         }
-        updateHeld(rows, lease, now);
         publishOwned(configuration, lease, now);
-        publishOwners(rows, configuration, view);
-        noteLapsedShares(rows, lease, now);
+        announceRelease(lease, now);
         if (lease.valid(now) && watcher.completeAsOf(lease.confirmedNanos())) {
-            claim(rows, configuration, view, lease, now);
-            maintain(rows, configuration, view, now);
+            claim(changed, configuration, view, lease);
+            maintain(configuration, view, now);
         }
     }
 
@@ -166,11 +184,11 @@
         view.members().keySet().forEach(id -> memberSince.putIfAbsent(id, now));
     }
 
-    private void updateHeld(Map<ServerName, Row> rows, LeaseState lease, long now) {
+    private void updateHeld(LeaseState lease, long now) {
         boolean member = lease.phase() == LeaseState.Phase.HELD || lease.phase() == LeaseState.Phase.LAPSED;
         held.entrySet().removeIf(entry -> {
-            Row row = rows.get(entry.getKey());
-            boolean lost = !member || row == null || !ServerRow.of(row.value()).heldBy(self.id(), lease.incarnation());
+            ServerRows.Entry row = rows.get(entry.getKey());
+            boolean lost = !member || row == null || !row.content().heldBy(self.id(), lease.incarnation());
             if (lost) {
                 record(EventKind.SERVER_RELEASED, entry.getKey(), entry.getValue().fencingNumber, "row names another");
             }
@@ -179,8 +197,8 @@
         if (!member) {
             return;
         }
-        rows.forEach((server, row) -> {
-            ServerRow content = ServerRow.of(row.value());
+        rows.all().forEach((server, row) -> {
+            ServerRow content = row.content();
             if (content.heldBy(self.id(), lease.incarnation())) {
                 Held entry = held.get(server);
                 if (entry == null || entry.fencingNumber != content.fencingNumber()) {
@@ -200,20 +218,26 @@
 
     private void publishOwned(FleetConfiguration configuration, LeaseState lease, long now) {
         boolean permitted = blackboard.read(WorkPermit.TOPIC).allows(now);
-        boolean confirmed = lease.valid(now) && watcher.completeAsOf(lease.confirmedNanos());
+        boolean settled = blackboard.read(StoreContact.TOPIC).settled();
+        long horizon = now + settings.lookahead().toNanos();
+        long expiry = lease.validUntilNanos() + self.safetyMargin().toNanos();
+        boolean confirmed = lease.valid(horizon) && watcher.completeAsOf(lease.confirmedNanos());
+        boolean outage = !confirmed && !held.isEmpty() && shareRule.outageConfirmed(expiry, horizon);
         List<OwnedServer> servers = new ArrayList<>();
         held.forEach((name, entry) -> {
+            entry.usable |= settled || entry.row.lapsed().isEmpty();
             BackendServer server = configuration.servers().get(name);
             if (server != null) {
                 Service service = configuration.services().get(server.service());
+                double share = entry.row.share();
                 servers.add(new OwnedServer(
                         name,
                         server.service(),
                         service == null ? ServiceKind.MODEL : service.kind(),
                         server.address(),
                         entry.fencingNumber,
-                        shareRule.usable(entry.row.share(), confirmed, now),
-                        permitted && !entry.stopping && configuration.admitsWork(name),
+                        confirmed || outage ? share : ShareRule.lapsedShare(share),
+                        permitted && !entry.stopping && entry.usable && configuration.admitsWork(name),
                         server.checksFencing(),
                         !entry.row.handedOver()));
             }
@@ -223,138 +247,62 @@
             published = snapshot;
             blackboard.write(OwnedServers.TOPIC, snapshot);
         }
-    }
-
-    private void publishOwners(Map<ServerName, Row> rows, FleetConfiguration configuration, MembershipView view) {
-        Map<ServerName, OwnerMap.Owner> owners = new HashMap<>();
-        Map<ServiceName, TreeSet<RouterId>> byService = new HashMap<>();
-        rows.forEach((name, row) -> {
-            ServerRow content = ServerRow.of(row.value());
-            Member holder = content.holder().map(view.members()::get).orElse(null);
-            if (holder == null || holder.incarnation() != content.incarnation()) {
-                return;
-            }
-            owners.put(name, new OwnerMap.Owner(holder.id(), content.incarnation(), content.fencingNumber()));
-            BackendServer server = configuration.servers().get(name);
-            if (server != null && configuration.admitsWork(name)) {
-                byService
-                        .computeIfAbsent(server.service(), service -> new TreeSet<>())
-                        .add(holder.id());
-            }
-        });
-        Map<ServiceName, List<RouterId>> ownersByService = new HashMap<>();
-        byService.forEach((service, routers) -> ownersByService.put(service, List.copyOf(routers)));
-        OwnerMap map = new OwnerMap(owners, ownersByService);
-        if (!map.equals(blackboard.read(OwnerMap.TOPIC))) {
-            blackboard.write(OwnerMap.TOPIC, map);
+        ShareValidity validity = new ShareValidity(
+                confirmed ? lease.validUntilNanos() : outage ? shareRule.reportEndNanos() : Long.MAX_VALUE);
+        if (!validity.equals(blackboard.read(ShareValidity.TOPIC))) {
+            blackboard.write(ShareValidity.TOPIC, validity);
         }
     }
 
-    /** Tells claimants that this router no longer uses the servers that its lapsed incarnation lost. */
-    private void noteLapsedShares(Map<ServerName, Row> rows, LeaseState lease, long now) {
+    /** Finds servers that others claimed while this router's lease was lapsed. */
+    private void findLostShares(LeaseState lease, long now) {
         long newest = 0;
-        for (Row row : rows.values()) {
-            boolean named = ServerRow.of(row.value()).lapsed().stream()
-                    .anyMatch(entry -> entry.router().equals(self.id()) && entry.incarnation() == lease.incarnation());
-            newest = Math.max(newest, named ? row.revision() : 0);
+        for (ServerRows.Entry entry : rows.all().values()) {
+            boolean named = entry.content().lapsed().stream()
+                    .anyMatch(
+                            lapsed -> lapsed.router().equals(self.id()) && lapsed.incarnation() == lease.incarnation());
+            newest = Math.max(newest, named ? entry.row().revision() : 0);
         }
-        if (newest > releasePendingRevision) {
-            releasePendingRevision = newest;
+        if (newest > lostRevision) {
+            lostRevision = newest;
             releaseAtNanos = now + settings.grantLapse().toNanos();
         }
-        if (newest > 0 && now >= releaseAtNanos && lease.phase() == LeaseState.Phase.HELD) {
-            membership.released(releasePendingRevision);
+    }
+
+    /** Tells claimants that this router no longer uses the servers that it lost, when all its grants have lapsed. */
+    private void announceRelease(LeaseState lease, long now) {
+        if (lostRevision > 0 && now >= releaseAtNanos && lease.phase() == LeaseState.Phase.HELD) {
+            membership.released(lostRevision);
         }
     }
 
-    private void claim(
-            Map<ServerName, Row> rows,
-            FleetConfiguration configuration,
-            MembershipView view,
-            LeaseState lease,
-            long now) {
+    private void claim(boolean changed, FleetConfiguration configuration, MembershipView view, LeaseState lease) {
         Member me = view.members().get(self.id());
         if (leaving || me == null || me.incarnation() != lease.incarnation()) {
             return;
         }
-        for (BackendServer server : configuration.servers().values()) {
-            Row row = rows.get(server.name());
-            Optional<ClaimPlan> plan =
-                    inRegion(server, configuration) ? claimPlan(server, row, view) : Optional.empty();
-            boolean preferred = plan.isPresent()
-                    && RendezvousUtils.preferredOwner(
-                                    server, configuration, view.members().values())
-                            .filter(member -> member.id().equals(self.id()))
-                            .isPresent();
-            if (!preferred) {
-                claimTimes.remove(server.name());
-                continue;
+        claims.refresh(changed, configuration, view);
+        claims.due(view).forEach((server, plan) -> {
+            if (writer.mayWrite(server)) {
+                writer.claim(server, plan, self.id(), lease);
             }
-            long claimAt = claimTimes.computeIfAbsent(
-                    server.name(),
-                    name -> now + Math.round(settings.claimJitter().toNanos() * random.nextDouble()));
-            if (now >= claimAt && writer.mayWrite(server.name())) {
-                writer.claim(server.name(), plan.get(), self.id(), lease);
-            }
-        }
-    }
-
-    private boolean inRegion(BackendServer server, FleetConfiguration configuration) {
-        Zone zone = configuration.zones().get(server.zone());
-        return zone != null && zone.region().equals(self.region());
-    }
-
-    private Optional<ClaimPlan> claimPlan(BackendServer server, Row row, MembershipView view) {
-        if (row == null) {
-            return Optional.of(new ClaimPlan(Optional.empty(), Optional.empty(), Optional.empty(), List.of()));
-        }
-        ServerRow content = ServerRow.of(row.value());
-        if (content.holder().isEmpty()) {
-            return Optional.of(new ClaimPlan(
-                    Optional.of(row), Optional.empty(), Optional.empty(), ShareRule.known(content.lapsed(), view)));
-        }
-        RouterId holder = content.holder().get();
-        Optional<Row> holderRow = watcher.row(MemberRow.key(holder)).filter(found -> !found.expired());
-        boolean newer = holderRow
-                .filter(found -> MemberRow.of(found).member().incarnation() > content.incarnation())
-                .isPresent();
-        if (holderRow.isPresent() && !newer) {
-            return Optional.empty();
-        }
-        List<ServerRow.LapsedHolder> lapsed = new ArrayList<>(ShareRule.known(content.lapsed(), view));
-        if (!newer) {
-            lapsed.add(
-                    new ServerRow.LapsedHolder(holder, content.incarnation(), ShareRule.lapsedShare(content.share())));
-        }
-        return Optional.of(new ClaimPlan(
-                Optional.of(row),
-                Optional.of(MemberRow.key(holder)),
-                newer ? holderRow : Optional.empty(),
-                server.checksFencing() ? List.of() : lapsed));
+        });
     }
 
-    private void maintain(Map<ServerName, Row> rows, FleetConfiguration configuration, MembershipView view, long now) {
+    private void maintain(FleetConfiguration configuration, MembershipView view, long now) {
+        boolean zoneLeaving = !configuration.inService(self.zone());
         held.forEach((name, entry) -> {
-            Row row = rows.get(name);
-            if (row == null) {
-                return;
-            }
+            Row row = rows.get(name).row();
             BackendServer server = configuration.servers().get(name);
             Optional<Member> target = server == null
                     ? Optional.empty()
                     : RendezvousUtils.preferredOwner(
                             server, configuration, view.members().values());
-            boolean moveAway = leaving || (server == null && configuration.version() > 0);
-            boolean zoneLeaving = !configuration.inService(self.zone());
-            boolean other =
-                    target.filter(member -> !member.id().equals(self.id())).isPresent();
-            boolean dwelt = other
-                    && now - entry.sinceNanos >= settings.dwellTime().toNanos()
-                    && now - memberSince.getOrDefault(target.get().id(), now)
-                            >= settings.dwellTime().toNanos();
+            Optional<Member> other = target.filter(member -> !member.id().equals(self.id()));
+            boolean mustLeave = leaving || (server == null && configuration.version() > 0);
             if (entry.stopping) {
-                continueHandover(name, entry, row, target, other, now);
-            } else if (moveAway || (other && (dwelt || zoneLeaving))) {
+                continueHandover(name, entry, row, other, mustLeave, now);
+            } else if (mustLeave || (other.isPresent() && (zoneLeaving || dwelt(entry, other.get(), now)))) {
                 if (writer.mayWrite(name) && handoversInProgress() < settings.writesAtATime()) {
                     entry.stopping = true;
                     entry.stoppedNanos = now;
@@ -365,33 +313,41 @@
         });
     }
 
+    private boolean dwelt(Held entry, Member target, long now) {
+        long dwell = settings.dwellTime().toNanos();
+        return now - entry.sinceNanos >= dwell && now - memberSince.getOrDefault(target.id(), now) >= dwell;
+    }
+
     private long handoversInProgress() {
         return held.values().stream().filter(entry -> entry.stopping).count();
     }
 
     private void continueHandover(
-            ServerName name, Held entry, Row row, Optional<Member> target, boolean other, long now) {
+            ServerName name, Held entry, Row row, Optional<Member> other, boolean mustLeave, long now) {
         if (now - entry.stoppedNanos < settings.grantLapse().toNanos() || !writer.mayWrite(name)) {
             return;
         }
-        if (!other && !leaving && target.isPresent()) {
-            if (!entry.sent) {
+        if (other.isEmpty() && !mustLeave) {
+            if (entry.sentRevision != row.revision()) {
                 entry.stopping = false;
+            } else {
+                writer.confirm(name, row);
             }
             return;
         }
-        entry.sent = true;
-        Optional<Row> targetRow = other ? watcher.row(MemberRow.key(target.get().id())) : Optional.empty();
+        entry.sentRevision = row.revision();
+        Optional<Row> targetRow = other.flatMap(member -> watcher.row(MemberRow.key(member.id())));
         writer.handOver(name, row, targetRow, () -> {
             if (targetRow.isPresent()) {
-                handovers.handedOver(name, target.get().id(), entry.fencingNumber + 1);
+                handovers.handedOver(name, other.get().id(), entry.fencingNumber + 1);
             }
         });
     }
 
     private void prune(ServerName name, Held entry, Row row, MembershipView view) {
         List<ServerRow.LapsedHolder> known = entry.row.lapsed().stream()
-                .filter(lapsed -> !ShareRule.gone(lapsed, row.revision(), view, watcher))
+                .filter(lapsed -> !ShareRule.released(lapsed, row.revision(), view, watcher)
+                        && (view.members().containsKey(lapsed.router()) || !gone.contains(lapsed.router())))
                 .toList();
         if (known.size() < entry.row.lapsed().size() && writer.mayWrite(name)) {
             writer.prune(name, row, known);
@@ -404,8 +360,15 @@
         private final long fencingNumber;
         private final long sinceNanos;
         private ServerRow row;
+
+        /** False for a claim that took effect while contact was not settled, so that a lapsed holder may use all. */
+        private boolean usable;
+
         private boolean stopping;
-        private boolean sent;
+
+        /** Revision that the last handover was conditional on; it may still take effect while the row has it. */
+        private long sentRevision;
+
         private long stoppedNanos;
 
         private Held(long fencingNumber, long sinceNanos) {
--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -21,10 +21,12 @@
 final class ShareRule {
 
     private final Blackboard blackboard;
+    private final StoreWatcher watcher;
     private final RegionName region;
     private final Duration reportAge;
 
-    ShareRule(Blackboard blackboard, RegionName region, Duration reportAge) {
+    ShareRule(Blackboard blackboard, StoreWatcher watcher, RegionName region, Duration reportAge) {
+        this.watcher = watcher;
         this.blackboard = blackboard;
         this.region = region;
         this.reportAge = reportAge;
@@ -35,21 +37,37 @@
         return share / 2;
     }
 
-    /** Returns the share that this router may use now of a server whose row gives it {@code share}. */
-    double usable(double share, boolean leaseConfirmed, long now) {
-        return leaseConfirmed || outageConfirmed(now) ? share : lapsedShare(share);
-    }
-
-    /** Tells whether no router of the region can reach the store, so that nobody can claim. */
-    boolean outageConfirmed(long now) {
+    /**
+     * Tells whether nobody has claimed since this router's lease expired and nobody can claim now: no router of the
+     * region reaches the store, and none had settled contact after the expiry.
+     */
+    boolean outageConfirmed(long expiryNanos, long now) {
         if (blackboard.read(StoreContact.TOPIC).reachable()) {
             return false;
         }
-        int known = blackboard.read(MembershipView.TOPIC).ranked(region).size();
+        List<Member> known = knownRouters();
+        long digest = known.stream()
+                .mapToLong(member -> RegionStoreReport.digest(member.id(), member.incarnation()))
+                .sum();
         RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
         boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
-        boolean all = report.routersWithoutStore() >= known && report.routersWithoutStore() >= report.routers();
-        return known <= 1 || (fresh && all);
+        boolean all = report.routersWithoutStore() == report.routers() && report.withoutStoreDigest() == digest;
+        return known.size() <= 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
+    }
+
+    /** Returns the routers of the region that have a row, also those whose row was found expired. */
+    private List<Member> knownRouters() {
+        return watcher.rows(MemberRow.PREFIX).stream()
+                .map(row -> MemberRow.of(row).member())
+                .filter(member -> member.region().equals(region))
+                .toList();
+    }
+
+    /** Returns until when a confirmed outage may be relied on without a newer report. */
+    long reportEndNanos() {
+        return knownRouters().size() <= 1
+                ? Long.MAX_VALUE
+                : blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos();
     }
 
     /** Returns the lapsed holders that no newer incarnation has replaced. */
@@ -58,7 +76,7 @@
     }
 
     /** Tells whether a lapsed holder surely no longer uses its share. */
-    static boolean gone(LapsedHolder entry, long claimRevision, MembershipView view, StoreWatcher watcher) {
+    static boolean released(LapsedHolder entry, long claimRevision, MembershipView view, StoreWatcher watcher) {
         Optional<MemberRow> row = watcher.row(MemberRow.key(entry.router()))
                 .filter(found -> !found.expired())
                 .map(MemberRow::of);
--- a/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/RequestFlow.java
@@ -13,7 +13,6 @@
 import org.coltsfootquay.decision.dispatch.EndReport.Outcome;
 import org.coltsfootquay.decision.dispatch.RefusalCode;
 import org.coltsfootquay.decision.idempotency.RecordMachine;
-import org.coltsfootquay.decision.idempotency.RecordOwner;
 import org.coltsfootquay.decision.idempotency.RecordStep;
 import org.coltsfootquay.decision.idempotency.RecordedAnswer;
 import org.coltsfootquay.decision.request.ErrorReply.Execution;
@@ -73,7 +72,7 @@
         this.answer = new CallerAnswer(request);
         this.bounds = new FlowBounds(request, environment);
         this.journal = new FlowJournal(request, environment.timeline());
-        this.record = request.once() ? new RecordMachine(recordOwner(), this::isAlive) : null;
+        this.record = request.once() ? FlowRecords.create(request, environment) : null;
     }
 
     /**
@@ -126,6 +125,15 @@
         return phase == Phase.CLOSED;
     }
 
+    /**
+     * Tells whether the caller received an end or left, so that nothing but the record is still worked on.
+     *
+     * @return true if the end of the process would interrupt nobody
+     */
+    public boolean isAnswered() {
+        return phase == Phase.ENDED || phase == Phase.CLOSED;
+    }
+
     /**
      * Returns the request.
      *
@@ -163,6 +171,8 @@
             onCallerGone(nowNanos);
         } else if (event instanceof RequestEvent.OwnerLost lost) {
             onOwnerLost(lost.owner(), nowNanos);
+        } else if (event instanceof RequestEvent.ServerMoved moved) {
+            onServerMoved(moved);
         } else if (event instanceof RequestEvent.OwnerQueued queued) {
             onQueued(queued, nowNanos);
         } else if (event instanceof RequestEvent.OwnerRefused refused) {
@@ -316,6 +326,12 @@
         }
     }
 
+    private void onServerMoved(RequestEvent.ServerMoved moved) {
+        if (inFlight() && grant.server().equals(moved.server())) {
+            owner = moved.owner();
+        }
+    }
+
     private void leaveOwner(long nowNanos) {
         withdraw("owner does not answer");
         environment.owners().unreachable(owner, nowNanos);
@@ -324,7 +340,8 @@
     }
 
     private void onPreempted(long nowNanos) {
-        if (request.once() || !inFlightOrOpening()) {
+        if (request.once() || !inFlightOrOpening() || !answer.isContinuable()) {
+            // It runs to its end: running it again, or passing its parts again, would break G5 or G7.
             return;
         }
         cancelOnServer();
@@ -425,6 +442,13 @@
         resumedWithoutProgress = false;
         meter.part(answer.tokens(), nowNanos);
         answer.part(part.data(), actions);
+        if (answer.isTooLarge()) {
+            cancelOnServer();
+            reportFinished(Outcome.CANCELLED, nowNanos);
+            mayHaveRun = true;
+            end(ErrorCode.ANSWER_TOO_LARGE, Duration.ZERO, nowNanos);
+            return;
+        }
         dueNanos = nowNanos + SERVER_SILENCE_NANOS;
         if (meter.reportDue(nowNanos)) {
             actions.add(new RequestAction.ReportProgress(
@@ -483,8 +507,7 @@
             end(ErrorCode.OUTCOME_UNKNOWN, Duration.ZERO, nowNanos);
             return;
         }
-        boolean repeatable = !answer.started() || answer.tokens();
-        long delay = repeatable ? retryDelay(nowNanos) : -1;
+        long delay = answer.isContinuable() ? retryDelay(nowNanos) : -1;
         if (delay < 0) {
             end(failure, DEFAULT_RETRY_AFTER, nowNanos);
         } else {
@@ -590,7 +613,7 @@
                 || code == ErrorCode.OUTCOME_UNKNOWN
                 || code == ErrorCode.ANSWER_NOT_RECORDED;
         Execution execution = mayHaveRun || otherAttemptRan ? Execution.UNKNOWN : Execution.NOT_RUN;
-        answer.fail(new ErrorReply(code, execution, code.label().replace('_', ' '), retryAfter), actions);
+        answer.fail(new ErrorReply(code, execution, code.message(), retryAfter), actions);
         journal.note(
                 execution == Execution.NOT_RUN ? EventKind.REQUEST_REFUSED : EventKind.REQUEST_FAILED,
                 attempt,
@@ -628,7 +651,8 @@
         long due = Math.min(dueNanos, record == null ? Long.MAX_VALUE : record.wakeNanos());
         if (phase != Phase.CLOSED && due < scheduledNanos) {
             scheduledNanos = due;
-            actions.add(new RequestAction.ScheduleTimer(due));
+            // First, so that it never replaces a newer timer of an event that an action delivers at once.
+            actions.add(0, new RequestAction.ScheduleTimer(due));
         }
     }
 
@@ -640,24 +664,6 @@
         return inFlight() || phase == Phase.OPENING;
     }
 
-    private boolean isAlive(RouterId router, long incarnation) {
-        if (router.equals(environment.self())) {
-            return incarnation == environment.incarnation();
-        }
-        var member = environment.members().members().get(router);
-        return member != null && member.incarnation() == incarnation;
-    }
-
-    private RecordOwner recordOwner() {
-        CallerRequest.IdempotencyKey key = request.idempotency().orElseThrow();
-        return new RecordOwner(
-                RecordOwner.rowKey(request.workspace(), key.key()),
-                request.id().value(),
-                key.digest(),
-                environment.self(),
-                environment.incarnation());
-    }
-
     private enum Phase {
         NEW,
         WAITING,
--- a/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcher.java
@@ -45,6 +45,8 @@
     private boolean reachable;
     private long lastAnswerNanos;
     private long changedNanos;
+    private long lastSettledNanos;
+    private long changeCount;
 
     /**
      * Creates a watcher that does nothing until {@link #start()}.
@@ -71,6 +73,7 @@
         this.settings = ArgumentUtils.requireValue(settings, "settings");
         this.lastAnswerNanos = timer.nowNanos() - settings.outageAfter().toNanos();
         this.changedNanos = timer.nowNanos();
+        this.lastSettledNanos = timer.nowNanos();
     }
 
     /** Starts polling. */
@@ -138,6 +141,15 @@
         return revision;
     }
 
+    /**
+     * Returns a number that grows with each change of the copy.
+     *
+     * @return number of changes since the start
+     */
+    public long changeCount() {
+        return changeCount;
+    }
+
     /**
      * Tells whether the copy contains every change that was made before a point in time.
      *
@@ -163,7 +175,11 @@
      * @param row row as read or written
      */
     public void note(Row row) {
-        rows.merge(row.key(), row, (old, fresh) -> fresh.revision() >= old.revision() ? fresh : old);
+        Row old = rows.get(row.key());
+        if (old == null || (row.revision() >= old.revision() && !row.equals(old))) {
+            rows.put(row.key(), row);
+            changeCount++;
+        }
     }
 
     /**
@@ -258,7 +274,12 @@
                     "sinceAnswerMillis",
                     Duration.ofNanos(now - lastAnswerNanos).toMillis()));
         }
-        blackboard.write(StoreContact.TOPIC, new StoreContact(reachable, lastAnswerNanos, changedNanos));
+        boolean settled =
+                reachable && now - changedNanos >= settings.settledAfter().toNanos();
+        if (settled) {
+            lastSettledNanos = now;
+        }
+        blackboard.write(StoreContact.TOPIC, new StoreContact(reachable, settled, lastAnswerNanos, lastSettledNanos));
     }
 
     private void finishStop() {
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestWorld.java
@@ -29,6 +29,7 @@
 import org.coltsfootquay.decision.configuration.ServiceKind;
 import org.coltsfootquay.decision.configuration.Target;
 import org.coltsfootquay.decision.configuration.Zone;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.invariant.RequestInvariants;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
@@ -95,11 +96,11 @@
 
     FakeCaller call(Entry entry) {
         RequestId id = new RequestId(entry.id + "-" + entry.incarnation + "-" + ++requestCount);
-        boolean booking = kind == Kind.BOOKING;
+        boolean booking = kind.booking();
         Target target = new Target(Optional.of(Duration.ofSeconds(1)), Optional.empty(), Optional.empty());
         ClassOfWork work = new ClassOfWork(
                 new ClassName("class"), SERVICE, target, Duration.ofSeconds(10), !booking, List.of(), true);
-        boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+        boolean model = kind.model();
         CallerRequest request = new CallerRequest(
                 id,
                 WORKSPACE,
@@ -108,7 +109,7 @@
                 100,
                 200,
                 List.of(1L, 2L),
-                kind == Kind.MODEL_STREAMED,
+                kind.streamed(),
                 booking ? Optional.of(new IdempotencyKey("key", "digest")) : Optional.empty());
         FakeCaller caller = new FakeCaller(request);
         callers.add(caller);
@@ -153,7 +154,7 @@
     }
 
     String expected() {
-        if (kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED) {
+        if (kind.model()) {
             StringBuilder text = new StringBuilder();
             for (int i = 0; i < TOKENS; i++) {
                 text.append(token(i));
@@ -195,7 +196,21 @@
         MODEL_WHOLE,
         MODEL_STREAMED,
         APPLICATION_READ,
-        BOOKING
+        APPLICATION_READ_STREAMED,
+        BOOKING,
+        BOOKING_STREAMED;
+
+        boolean model() {
+            return this == MODEL_WHOLE || this == MODEL_STREAMED;
+        }
+
+        boolean streamed() {
+            return this == MODEL_STREAMED || this == APPLICATION_READ_STREAMED || this == BOOKING_STREAMED;
+        }
+
+        boolean booking() {
+            return this == BOOKING || this == BOOKING_STREAMED;
+        }
     }
 
     /** Steps of a request, each reached when its event was handled; a grant is reached just before that. */
@@ -234,7 +249,7 @@
         private final Map<RequestId, FakeServer> sentTo = new HashMap<>();
         private final TwoChoiceSelector selector;
         private final RetryBudget budget;
-        private RequestInvariants invariants = new RequestInvariants(violations::add);
+        private RequestInvariants invariants = new RequestInvariants(new InvariantMonitor(violations::add));
 
         Entry(String id, long seed) {
             this.id = new RouterId(id);
@@ -293,7 +308,7 @@
         void restart() {
             incarnation++;
             open.clear();
-            invariants = new RequestInvariants(violations::add);
+            invariants = new RequestInvariants(new InvariantMonitor(violations::add));
             callersById.values().forEach(caller -> caller.leave("connection broken"));
             owners.forEach(owner -> owner.entryLost(this));
             servers.forEach(server -> server.connections.stream()
@@ -320,7 +335,7 @@
         }
 
         private Optional<Step> step(RequestEvent event, List<RequestAction> actions) {
-            boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+            boolean model = kind.model();
             if (actions.stream().anyMatch(RequestAction.WriteRecord.class::isInstance)
                     && event instanceof RequestEvent.OwnerGranted) {
                 return Optional.of(Step.RECORD_BEING_WRITTEN);
@@ -365,7 +380,7 @@
                 server(cancel.server()).connections.stream()
                         .filter(connection -> connection.attempt.equals(cancel.attempt()))
                         .forEach(connection -> connection.open = false);
-                // A part that was on its way when the request was cancelled.
+                // Parts that were on their way when the request was cancelled, also while the next attempt runs.
                 deliverLate(request, cancel.attempt());
             } else if (action instanceof RequestAction.WriteRecord write) {
                 after(2, () -> write(request, write));
@@ -385,11 +400,13 @@
 
         private void deliverLate(RequestId request, RequestAttempt attempt) {
             byte[] late = "late".getBytes(StandardCharsets.UTF_8);
-            for (int position = 0; position <= TOKENS; position++) {
-                RequestEvent part = new RequestEvent.PartReceived(attempt, position, late);
-                after(1, () -> deliver(request, part));
+            for (int delay : new int[] {1, 18, 23, 28, 60}) {
+                for (int position = 0; position <= TOKENS; position++) {
+                    RequestEvent part = new RequestEvent.PartReceived(attempt, position, late);
+                    after(delay, () -> deliver(request, part));
+                }
+                after(delay, () -> deliver(request, new RequestEvent.AnswerEnded(attempt, -1, "")));
             }
-            after(1, () -> deliver(request, new RequestEvent.AnswerEnded(attempt, -1, "")));
         }
 
         private void write(RequestId request, RequestAction.WriteRecord write) {
@@ -477,7 +494,7 @@
 
         private void answer(RequestId request, FakeServer.Connection connection, int from) {
             RequestAttempt attempt = connection.attempt;
-            boolean model = kind == Kind.MODEL_WHOLE || kind == Kind.MODEL_STREAMED;
+            boolean model = kind.model();
             List<String> parts = new ArrayList<>(BODY);
             if (model) {
                 parts.clear();
