--- a/router/src/main/java/org/coltsfootquay/router/owner/DispatchThread.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/DispatchThread.java
@@ -1,5 +1,6 @@
 package org.coltsfootquay.router.owner;
 
+import java.lang.management.ManagementFactory;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -46,6 +47,11 @@
         LockSupport.unpark(thread);
     }
 
+    /** Returns the processor time that this thread used. */
+    long cpuNanos() {
+        return ManagementFactory.getThreadMXBean().getThreadCpuTime(thread.getId());
+    }
+
     /** Queues a task; false when the queue is full and the task was dropped. */
     boolean execute(Runnable task) {
         if (!tasks.offer(task)) {
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -16,8 +16,8 @@
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.dispatch.DispatchAction;
 import org.coltsfootquay.decision.dispatch.DispatchEvent;
-import org.coltsfootquay.decision.dispatch.Dispatcher;
 import org.coltsfootquay.decision.dispatch.LoadReport;
+import org.coltsfootquay.decision.dispatch.ServiceDispatcher;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.UsageIncrement;
 import org.coltsfootquay.decision.ownership.OwnedServer;
@@ -35,15 +35,17 @@
  */
 public final class OwnerRouter {
 
-    private final Function<ServiceName, Dispatcher> factory;
+    private final Function<ServiceName, ServiceDispatcher> factory;
     private final BiConsumer<RouterId, Frame> frames;
+    private final OwnerObserver observer;
     private final LongSupplier clock;
     private final DispatchThread thread;
-    private final Map<ServiceName, Dispatcher> dispatchers = new TreeMap<>();
+    private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
     private OwnedServers owned = new OwnedServers(List.of());
     private ServiceTotals totals = ServiceTotals.TOPIC.initial();
     private FleetConfiguration configuration = FleetConfiguration.none();
     private boolean stopping;
+    private volatile int waiting;
 
     /**
      * Creates an owner without dispatchers; they appear with the services of the configuration.
@@ -51,13 +53,16 @@
      * @param name prefix of the thread name
      * @param factory creates the dispatcher of a service
      * @param frames sends a frame to an entry router; called on the dispatch thread
+     * @param observer sees what the dispatchers decide
      * @param clock monotonic clock in nanoseconds
      */
     public OwnerRouter(
             String name,
-            Function<ServiceName, Dispatcher> factory,
+            Function<ServiceName, ServiceDispatcher> factory,
             BiConsumer<RouterId, Frame> frames,
+            OwnerObserver observer,
             LongSupplier clock) {
+        this.observer = observer;
         this.factory = factory;
         this.frames = frames;
         this.clock = clock;
@@ -99,6 +104,10 @@
                         () -> new DispatchEvent.InFlightReported(
                                 new ServerName(frame.getInFlight().getServer()),
                                 OwnerFrames.inFlight(from, frame.getInFlight().getRequestsList())));
+            case SERVER_HANDOVER ->
+                inFlight(
+                        new ServerName(frame.getServerHandover().getServer()),
+                        () -> OwnerFrames.handedOver(from, frame.getServerHandover()));
             case PROBE -> probe(from, frame.getProbe());
             case PROBE_REPLY ->
                 idleOwner(
@@ -142,6 +151,7 @@
     public void configuration(FleetConfiguration newConfiguration) {
         post(() -> {
             configuration = newConfiguration;
+            observer.configuration(newConfiguration, clock.getAsLong());
             newConfiguration.services().keySet().forEach(this::dispatcher);
             dispatchers
                     .values()
@@ -170,13 +180,45 @@
      */
     public void loadReported(ServiceName service, ServerName server, LoadReport report) {
         post(() -> {
-            Dispatcher dispatcher = dispatchers.get(service);
+            ServiceDispatcher dispatcher = dispatchers.get(service);
             if (dispatcher != null) {
                 run(dispatcher, new DispatchEvent.LoadReported(server, report));
             }
         });
     }
 
+    /**
+     * Writes down what the next owner of a server needs to know.
+     *
+     * @param server server
+     * @param fencingNumber fencing number of the next owner
+     * @param receiver receives the message, on the dispatch thread; not called when the server is unknown
+     */
+    public void handover(ServerName server, long fencingNumber, Consumer<Frame> receiver) {
+        post(() -> dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.handover(server).stream())
+                .findFirst()
+                .ifPresent(state -> receiver.accept(OwnerFrames.handover(state, fencingNumber))));
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return requests of all services, as of the last tick
+     */
+    public int waiting() {
+        return waiting;
+    }
+
+    /**
+     * Returns the processor time that the dispatch thread used.
+     *
+     * @return nanoseconds since the start
+     */
+    public long cpuNanos() {
+        return thread.cpuNanos();
+    }
+
     /** Begins the planned stop: queues are redirected or refused. */
     public void beginStop() {
         post(() -> {
@@ -264,7 +306,7 @@
     private void probe(RouterId from, Probe probe) {
         ServiceName service = new ServiceName(probe.getService());
         post(() -> {
-            Dispatcher dispatcher = dispatchers.get(service);
+            ServiceDispatcher dispatcher = dispatchers.get(service);
             if (dispatcher == null) {
                 return;
             }
@@ -287,7 +329,7 @@
     private void idleOwner(ServiceName service, RouterId owner, int freeSlots, int queueLength) {
         if (freeSlots > 0 && queueLength == 0) {
             post(() -> {
-                Dispatcher dispatcher = dispatchers.get(service);
+                ServiceDispatcher dispatcher = dispatchers.get(service);
                 if (dispatcher != null) {
                     run(dispatcher, new DispatchEvent.IdleOwnerFound(owner, freeSlots));
                 }
@@ -301,20 +343,22 @@
     }
 
     private boolean tick() {
-        boolean waiting = false;
+        int sum = 0;
         long now = clock.getAsLong();
-        for (Dispatcher dispatcher : dispatchers.values()) {
+        for (ServiceDispatcher dispatcher : dispatchers.values()) {
             run(dispatcher, new DispatchEvent.Ticked());
-            waiting |= dispatcher.load(now).queueLength() > 0;
+            observer.ticked(dispatcher.service(), dispatcher, now);
+            sum += dispatcher.load(now).queueLength();
         }
-        return waiting;
+        waiting = sum;
+        return sum > 0;
     }
 
     private void dispatcher(ServiceName service) {
         if (dispatchers.containsKey(service)) {
             return;
         }
-        Dispatcher created = factory.apply(service);
+        ServiceDispatcher created = factory.apply(service);
         dispatchers.put(service, created);
         run(created, new DispatchEvent.ConfigurationChanged(configuration));
         run(created, serversOf(service));
@@ -330,8 +374,10 @@
                 .toList());
     }
 
-    private void run(Dispatcher dispatcher, DispatchEvent event) {
-        for (DispatchAction action : dispatcher.handle(event, clock.getAsLong())) {
+    private void run(ServiceDispatcher dispatcher, DispatchEvent event) {
+        long now = clock.getAsLong();
+        for (DispatchAction action : dispatcher.handle(event, now)) {
+            observer.acted(dispatcher.service(), action, dispatcher, now);
             Optional<Frame> frame = OwnerFrames.frame(action);
             if (frame.isPresent()) {
                 frames.accept(action.entry(), frame.get());
