Divide the request flow into its owner side and its server side

Cause: one class of 690 lines; a preempted request that its owner refused ended its stream with an error although another owner could go on; a closed flow that heard of its caller's end closed twice.

--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/request/FlowState.java
@@ -0,0 +1,137 @@
+package org.coltsfootquay.decision.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.coltsfootquay.decision.common.RequestAttempt;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.dispatch.EndReport.Outcome;
+import org.coltsfootquay.decision.idempotency.RecordMachine;
+import org.coltsfootquay.decision.idempotency.RecordStep;
+import org.coltsfootquay.decision.request.ErrorReply.Execution;
+import org.coltsfootquay.decision.timeline.EventKind;
+
+/** State of a request that the owner side and the server side of its flow share, and the ways in which it ends. */
+final class FlowState {
+
+    /** Time after which a retry has a chance when the owner named none. */
+    static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
+
+    final CallerRequest request;
+    final RequestEnvironment environment;
+    final CallerAnswer answer;
+    final FlowJournal journal;
+    final FlowBounds bounds;
+    final RecordMachine record;
+    Phase phase = Phase.NEW;
+    RequestAttempt attempt;
+    RouterId owner;
+    Grant grant;
+    AttemptMeter meter;
+    long dueNanos = Long.MAX_VALUE;
+    long scheduledNanos = Long.MAX_VALUE;
+    boolean mayHaveRun;
+    boolean callerGone;
+    List<RequestAction> actions = new ArrayList<>(4);
+
+    FlowState(CallerRequest request, RequestEnvironment environment) {
+        this.request = request;
+        this.environment = environment;
+        this.answer = new CallerAnswer(request);
+        this.bounds = new FlowBounds(request, environment);
+        this.journal = new FlowJournal(request, environment.timeline());
+        this.record = request.once() ? FlowRecords.create(request, environment) : null;
+    }
+
+    /** Passes the writes and reads of the record on, and closes the flow when the ending is recorded. */
+    void store(List<RecordStep> steps) {
+        for (RecordStep step : steps) {
+            if (step instanceof RecordStep.Write write) {
+                actions.add(new RequestAction.WriteRecord(write.sequence(), write.write()));
+            } else if (step instanceof RecordStep.Read read) {
+                actions.add(new RequestAction.ReadRecord(read.sequence(), read.key()));
+            } else if (step instanceof RecordStep.Settled) {
+                journal.note(EventKind.RECORD_COMPLETED, attempt);
+                closeWhenSettled();
+            }
+        }
+    }
+
+    void end(ErrorCode code, Duration retryAfter, long nowNanos) {
+        boolean otherAttemptRan = code == ErrorCode.IN_PROGRESS
+                || code == ErrorCode.OUTCOME_UNKNOWN
+                || code == ErrorCode.ANSWER_NOT_RECORDED;
+        Execution execution = mayHaveRun || otherAttemptRan ? Execution.UNKNOWN : Execution.NOT_RUN;
+        answer.fail(new ErrorReply(code, execution, code.message(), retryAfter), actions);
+        journal.note(
+                execution == Execution.NOT_RUN ? EventKind.REQUEST_REFUSED : EventKind.REQUEST_FAILED,
+                attempt,
+                "reason",
+                code.label());
+        finishWithoutAnswer(nowNanos);
+    }
+
+    void finishWithoutAnswer(long nowNanos) {
+        enter(Phase.ENDED, Long.MAX_VALUE);
+        if (record != null) {
+            store(mayHaveRun ? record.outcomeUnknown(nowNanos) : record.notRun(nowNanos));
+        }
+        closeWhenSettled();
+    }
+
+    void closeWhenSettled() {
+        if (phase == Phase.ENDED && (record == null || !record.isBusy())) {
+            phase = Phase.CLOSED;
+            actions.add(new RequestAction.Close());
+        }
+    }
+
+    void withdraw(String reason) {
+        actions.add(new RequestAction.WithdrawFromOwner(owner, attempt, reason));
+    }
+
+    void cancelOnServer() {
+        actions.add(new RequestAction.CancelOnServer(attempt, grant.server(), grant.address()));
+    }
+
+    void reportFinished(Outcome outcome, long nowNanos) {
+        AttemptMeter measured = meter == null ? new AttemptMeter(request.kind(), 0, nowNanos) : meter;
+        actions.add(new RequestAction.ReportFinished(owner, attempt, measured.end(outcome, nowNanos)));
+    }
+
+    void enter(Phase next, long due) {
+        phase = next;
+        dueNanos = due;
+    }
+
+    void scheduleTimer() {
+        long due = Math.min(dueNanos, record == null ? Long.MAX_VALUE : record.wakeNanos());
+        if (phase != Phase.CLOSED && due < scheduledNanos) {
+            scheduledNanos = due;
+            // First, so that it never replaces a newer timer of an event that an action delivers at once.
+            actions.add(0, new RequestAction.ScheduleTimer(due));
+        }
+    }
+
+    boolean inFlight() {
+        return phase == Phase.SENT || phase == Phase.RESUMING;
+    }
+
+    boolean inFlightOrOpening() {
+        return inFlight() || phase == Phase.OPENING;
+    }
+
+    /** Where the request stands. */
+    enum Phase {
+        NEW,
+        WAITING,
+        ASKED,
+        QUEUED,
+        RECORDING,
+        OPENING,
+        SENT,
+        RESUMING,
+        ENDED,
+        CLOSED
+    }
+}
--- a/decision/src/test/java/org/coltsfootquay/decision/request/RequestFlowTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/request/RequestFlowTest.java
@@ -146,7 +146,7 @@
     void silentServerCountsAsBroken() {
         start(Kind.APPLICATION_READ);
         send();
-        now += RequestFlow.SERVER_SILENCE_NANOS;
+        now += ServerSide.SILENCE_NANOS;
         List<RequestAction> actions = handle(new RequestEvent.TimePassed());
         assertEquals(1, only(RequestAction.CancelOnServer.class, actions).size());
     }
@@ -159,6 +159,33 @@
         assertEquals(Optional.of(SERVER), flow.inFlightOn());
     }
 
+    @Test
+    void preemptedRequestThatItsOwnerRefusesGoesOnElsewhere() {
+        start(Kind.MODEL_STREAMED);
+        send();
+        handle(new RequestEvent.HeadReceived(attempt, 200, Map.of()));
+        handle(token(0));
+        attempt = only(RequestAction.EnqueueAtOwner.class, handle(new RequestEvent.OwnerPreempted(attempt)))
+                .get(0)
+                .attempt();
+        List<RequestAction> actions =
+                handle(new RequestEvent.OwnerRefused(attempt, RefusalCode.PATIENCE_EXCEEDED, Duration.ZERO));
+        assertEquals(List.of(), only(RequestAction.EndWithError.class, actions));
+        now += 100 * MILLI;
+        RequestAction.EnqueueAtOwner again = only(
+                        RequestAction.EnqueueAtOwner.class, handle(new RequestEvent.TimePassed()))
+                .get(0);
+        assertFalse(again.owner().equals(owner));
+    }
+
+    @Test
+    void closedFlowDoesNothingMore() {
+        start(Kind.APPLICATION_READ);
+        handle(new RequestEvent.OwnerRefused(attempt, RefusalCode.WORKSPACE_QUEUE_FULL, Duration.ZERO));
+        assertEquals(List.of(), handle(new RequestEvent.CallerGone()));
+        assertEquals(List.of(), handle(new RequestEvent.TimePassed()));
+    }
+
     @Test
     void requestInFlightReportsToTheNewOwnerOfItsServer() {
         start(Kind.MODEL_STREAMED);
