Count only claims of a record as its confirmation

Cause: the run-time check of G7 took any applied write of the record, also its ending, for the permission to send. Change: only the write that claims the record, or a row that carries it, confirms. Conclusion: the check is as strict as the mechanism.

--- a/decision/src/main/java/org/coltsfootquay/decision/invariant/AtMostOnceInvariant.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/invariant/AtMostOnceInvariant.java
@@ -12,8 +12,9 @@
 import org.coltsfootquay.decision.request.RequestEvent;
 import org.coltsfootquay.decision.request.RequestObserver;
 import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.RowValue;
+import org.coltsfootquay.decision.store.RowWrite;
 import org.coltsfootquay.decision.store.WriteOutcome;
-import org.coltsfootquay.decision.store.WriteResult;
 
 /**
  * Checks G7 for the requests of this router: a non-idempotent request is opened on a server only after its record was
@@ -32,6 +33,7 @@
     private final InvariantMonitor monitor;
     private final Map<String, Sent> sent = bounded();
     private final Map<RequestId, Boolean> confirmed = bounded();
+    private final Map<RequestId, Long> startWrites = bounded();
 
     /**
      * Creates the check.
@@ -50,8 +52,12 @@
         }
         String key =
                 request.workspace() + "/" + request.idempotency().orElseThrow().key();
-        if (event instanceof RequestEvent.RecordWritten written && names(written.result(), request)) {
-            confirmed.put(request.id(), true);
+        if (event instanceof RequestEvent.RecordWritten written) {
+            boolean applied = written.result().outcome() == WriteOutcome.APPLIED
+                    && startWrites.getOrDefault(request.id(), -1L) == written.sequence();
+            if (applied || names(written.result().current(), request)) {
+                confirmed.put(request.id(), true);
+            }
         } else if (event instanceof RequestEvent.RecordRead read
                 && read.result().isRight()) {
             if (names(read.result().get(), request)) {
@@ -72,6 +78,7 @@
                         "bytes were written before by attempt " + former.attempt());
             }
         }
+        noteStartWrites(request, actions);
         boolean opens = actions.stream().anyMatch(RequestAction.OpenOnServer.class::isInstance);
         if (opens && !confirmed.containsKey(request.id())) {
             RequestInvariants.violated(
@@ -79,17 +86,30 @@
         }
         if (RequestInvariants.closed(actions)) {
             confirmed.remove(request.id());
+            startWrites.remove(request.id());
         }
     }
 
-    private static boolean names(WriteResult result, CallerRequest request) {
-        return result.outcome() == WriteOutcome.APPLIED || names(result.current(), request);
+    /** Remembers the newest write that claims the record for this request; endings confirm nothing. */
+    private void noteStartWrites(CallerRequest request, List<RequestAction> actions) {
+        for (RequestAction action : actions) {
+            if (action instanceof RequestAction.WriteRecord write
+                    && write.write() instanceof RowWrite.Put put
+                    && isStartOf(put.value(), request)) {
+                startWrites.put(request.id(), write.sequence());
+            }
+        }
     }
 
     private static boolean names(Optional<Row> row, CallerRequest request) {
-        return row.flatMap(found -> found.value().optionalText("attempt"))
-                .filter(request.id().value()::equals)
-                .isPresent();
+        return row.filter(found -> isStartOf(found.value(), request)).isPresent();
+    }
+
+    private static boolean isStartOf(RowValue value, CallerRequest request) {
+        return value.optionalText("attempt")
+                        .filter(request.id().value()::equals)
+                        .isPresent()
+                && value.optionalText("state").filter("started"::equals).isPresent();
     }
 
     private static <K, V> Map<K, V> bounded() {
