Use the separate policy checks in the measurement

Cause: the counter of violations and the checks of the policy were split. Change: the measurement uses PolicyInvariants.

--- a/cli/src/main/java/org/coltsfootquay/cli/measure/Measurement.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/measure/Measurement.java
@@ -11,6 +11,7 @@
 import org.coltsfootquay.cli.measure.MeasurementReport.ZoneChange;
 import org.coltsfootquay.decision.dispatch.PolicyName;
 import org.coltsfootquay.decision.fairness.FairnessUtils;
+import org.coltsfootquay.decision.invariant.Guarantee;
 
 /**
  * Measurement of one policy in one scenario.
@@ -104,7 +105,12 @@
             cpu = Math.max(cpu, router.meter.cpuNanos() / 1e9 / statistics.seconds());
         }
         Map<String, Long> violations = new LinkedHashMap<>();
-        statistics.monitor().violations().forEach((guarantee, count) -> violations.put(guarantee.name(), count));
+        for (Guarantee guarantee : Guarantee.values()) {
+            long count = statistics.monitor().count(guarantee);
+            if (count > 0) {
+                violations.put(guarantee.name(), count);
+            }
+        }
         int coldExcess = fleet.engines.stream()
                 .mapToInt(engine -> engine.largestColdExcess)
                 .max()
--- a/cli/src/main/java/org/coltsfootquay/cli/measure/SimFleet.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/measure/SimFleet.java
@@ -218,7 +218,7 @@
         }
         for (ServerState state : owner.dispatcher.servers()) {
             if (state.server().equals(server)) {
-                statistics.monitor().checkGrant(SERVICE, state);
+                statistics.invariants().checkGrant(SERVICE, state);
             }
         }
     }
--- a/cli/src/main/java/org/coltsfootquay/cli/measure/SimStatistics.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/measure/SimStatistics.java
@@ -11,6 +11,7 @@
 import org.coltsfootquay.decision.fairness.GapMonitor;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.invariant.InvariantMonitor;
+import org.coltsfootquay.decision.invariant.PolicyInvariants;
 import org.coltsfootquay.decision.timeline.TimelineSink;
 
 /** What is measured while a simulated fleet runs. */
@@ -20,6 +21,7 @@
 
     private final SimFleet fleet;
     private final InvariantMonitor monitor = new InvariantMonitor(TimelineSink.NONE);
+    private final PolicyInvariants invariants = new PolicyInvariants(monitor);
     private final GapMonitor gap = new GapMonitor();
     private final Map<SimRequest, Long> counted = new HashMap<>();
     private final Map<String, Histogram> firstTokens = new LinkedHashMap<>();
@@ -61,6 +63,10 @@
         return monitor;
     }
 
+    PolicyInvariants invariants() {
+        return invariants;
+    }
+
     void refused(SimRequest request) {
         if (measuring) {
             refused++;
@@ -107,7 +113,7 @@
             for (FakeEngine engine : fleet.engines) {
                 possibleTokens += engine.fullRate() * seconds;
             }
-            monitor.observeIdle(SimFleet.SERVICE, (int) free, (int) capacity, (int) waiting, now);
+            invariants.observeIdle(SimFleet.SERVICE, (int) free, (int) capacity, (int) waiting, now);
         }
         if (now - observedNanos >= SECOND) {
             observedNanos = now;
