--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -6,6 +6,7 @@
 import org.coltsfootquay.cli.operator.ConfigCommand;
 import org.coltsfootquay.cli.operator.LeaveReturnCommand;
 import org.coltsfootquay.cli.quickstart.QuickstartCommand;
+import org.coltsfootquay.cli.soak.SoakCommand;
 import org.coltsfootquay.cli.timeline.TimelineCommand;
 
 /** Entry point of the executable jar. */
@@ -33,7 +34,8 @@
                 LeaveReturnCommand.zone(),
                 LeaveReturnCommand.server(),
                 new AddressesCommand(),
-                new TimelineCommand());
+                new TimelineCommand(),
+                new SoakCommand());
     }
 
     private static String version() {
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/control/ControlChecks.java
@@ -0,0 +1,83 @@
+package org.coltsfootquay.decision.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.configuration.ConfigurationTopic;
+import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.decision.invariant.ConfigurationInvariant;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
+import org.coltsfootquay.decision.invariant.ShareInvariant;
+import org.coltsfootquay.decision.invariant.WholeHolderInvariant;
+import org.coltsfootquay.decision.membership.LeaseState;
+import org.coltsfootquay.decision.ownership.OwnedServer;
+import org.coltsfootquay.decision.ownership.OwnedServers;
+import org.coltsfootquay.decision.ownership.ServerRow;
+import org.coltsfootquay.decision.timer.TimerService;
+
+/**
+ * Checks of G3 and G10 that one router can make on its own: what it publishes against what the rows say.
+ *
+ * <p>Runs on the control thread.
+ */
+final class ControlChecks {
+
+    private final ControlPlane control;
+    private final TimerService timer;
+    private final Blackboard blackboard;
+    private final RouterId self;
+    private final ShareInvariant shares;
+    private final WholeHolderInvariant holders;
+    private final ConfigurationInvariant configurations;
+
+    ControlChecks(
+            ControlPlane control, TimerService timer, Blackboard blackboard, RouterId self, InvariantMonitor monitor) {
+        this.control = control;
+        this.timer = timer;
+        this.blackboard = blackboard;
+        this.self = self;
+        ArgumentUtils.requireValue(monitor, "monitor");
+        this.shares = new ShareInvariant(monitor);
+        this.holders = new WholeHolderInvariant(monitor);
+        this.configurations = new ConfigurationInvariant(monitor);
+    }
+
+    void start() {
+        blackboard.cell(ConfigurationTopic.IN_FORCE).subscribe(this::configurationChanged);
+        blackboard.cell(OwnedServers.TOPIC).subscribe(this::ownedChanged);
+    }
+
+    private void configurationChanged(FleetConfiguration configuration) {
+        configurations.check(
+                self.value(), configuration.version(), control.configuration().objectInForce());
+    }
+
+    private void ownedChanged(OwnedServers owned) {
+        LeaseState lease = blackboard.read(LeaseState.TOPIC);
+        boolean confirmed = lease.valid(timer.nowNanos()) && control.watcher().completeAsOf(lease.confirmedNanos());
+        for (OwnedServer server : owned.servers()) {
+            if (server.admitting()) {
+                control.watcher()
+                        .row(ServerRow.key(server.name()))
+                        .ifPresent(row -> check(server, ServerRow.of(row.value()), confirmed));
+            }
+        }
+    }
+
+    private void check(OwnedServer server, ServerRow row, boolean confirmed) {
+        if (!server.checksFencing()) {
+            Map<RouterId, Double> used = new HashMap<>();
+            row.lapsed().forEach(entry -> used.merge(entry.router(), entry.share(), Double::sum));
+            used.merge(self, server.share(), Double::sum);
+            shares.check(server.name(), used);
+        }
+        if (confirmed) {
+            TreeSet<RouterId> whole = new TreeSet<>(row.holder().stream().toList());
+            whole.add(self);
+            holders.check(server.name(), whole);
+        }
+    }
+}
--- a/decision/src/main/java/org/coltsfootquay/decision/control/ControlPlane.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/control/ControlPlane.java
@@ -3,8 +3,10 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.coltsfootquay.decision.blackboard.Blackboard;
+import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.configuration.ConfigurationController;
 import org.coltsfootquay.decision.configuration.ConfigurationSubmitter;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.membership.ContactController;
 import org.coltsfootquay.decision.membership.EstablishedMembers;
 import org.coltsfootquay.decision.membership.ExpiredMemberRemover;
@@ -21,6 +23,9 @@
  */
 public final class ControlPlane {
 
+    private final TimerService timer;
+    private final Blackboard blackboard;
+    private final RouterId self;
     private final StoreWatcher watcher;
     private final MembershipController membership;
     private final ExpiredMemberRemover remover;
@@ -46,6 +51,9 @@
             Blackboard blackboard,
             RandomGenerator random,
             ControlSettings settings) {
+        this.timer = timer;
+        this.blackboard = blackboard;
+        this.self = settings.membership().id();
         watcher = new StoreWatcher(ports.store(), timer, blackboard, ports.timeline(), random, settings.watcher());
         membership = new MembershipController(
                 ports.store(), watcher, timer, blackboard, ports.timeline(), random, settings.membership());
@@ -80,6 +88,15 @@
                 settings.ownership());
     }
 
+    /**
+     * Checks the guarantees G3 and G10 while the router runs; to be called before {@link #start()}.
+     *
+     * @param monitor receiver of violations
+     */
+    public void checkInvariants(InvariantMonitor monitor) {
+        new ControlChecks(this, timer, blackboard, self, monitor).start();
+    }
+
     /** Starts all controllers. */
     public void start() {
         configuration.start();
--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/RandomFaultRun.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/RandomFaultRun.java
@@ -176,9 +176,14 @@
         long limit = fleet.nowNanos() + SETTLE_LIMIT.toNanos();
         List<String> problems = List.of("not checked");
         while (!problems.isEmpty() && fleet.nowNanos() < limit && violations.isEmpty()) {
+            // Routers whose planned stop has ended meanwhile are started again.
+            fleet.routers().forEach(SimulatedRouter::start);
             advance(Duration.ofSeconds(1));
             problems = checker.unsettled();
         }
+        if (violations.isEmpty() && fleet.routerMonitor().total() > 0) {
+            violations.add(explain(fleet.routerMonitor().total() + " violations found by the routers themselves"));
+        }
         if (violations.isEmpty() && !problems.isEmpty()) {
             violations.add(explain("not settled " + SETTLE_LIMIT.toSeconds() + " s after the last fault: " + problems));
         }
--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedFleet.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedFleet.java
@@ -24,6 +24,7 @@
 import org.coltsfootquay.decision.configuration.ServiceKind;
 import org.coltsfootquay.decision.configuration.Zone;
 import org.coltsfootquay.decision.control.ControlSettings;
+import org.coltsfootquay.decision.invariant.InvariantMonitor;
 import org.coltsfootquay.decision.membership.MembershipSettings;
 import org.coltsfootquay.decision.store.RowCondition;
 import org.coltsfootquay.decision.store.RowWrite;
@@ -57,6 +58,7 @@
     private final Map<RouterId, SimulatedRouter> routers = new LinkedHashMap<>();
     private final Map<String, VmEntry> vms = new LinkedHashMap<>();
     private final ArrayList<String> events = new ArrayList<>();
+    private final InvariantMonitor routerMonitor = new InvariantMonitor(event -> log(new RouterId("fleet"), event));
 
     /**
      * Creates a fleet with a configuration in the store and no running router.
@@ -178,6 +180,15 @@
         return List.copyOf(events);
     }
 
+    /**
+     * Returns the monitor of the checks that the routers make themselves.
+     *
+     * @return monitor of all routers
+     */
+    public InvariantMonitor routerMonitor() {
+        return routerMonitor;
+    }
+
     TimelineSink timelineOf(RouterId router) {
         return event -> log(router, event);
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/SimulatedRouter.java
@@ -95,6 +95,7 @@
                 fleet.settings(membership));
         shutdown = new ShutdownController(
                 control, () -> 0, timer, blackboard, fleet.timelineOf(id), ShutdownSettings.standard());
+        control.checkInvariants(fleet.routerMonitor());
         control.start();
         fleet.vmChanged(this, VmEntry.State.RUNNING);
     }
--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -428,6 +428,7 @@
     private void startControl() {
         TimerService timer = control.timer();
         plane = controlPlane();
+        plane.checkInvariants(monitor);
         shutdown = new ShutdownController(
                 plane, () -> entry.requests() + owner.waiting(), timer, blackboard, timeline, shutdownSettings());
         routes = apiRoutes();
