--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -80,8 +80,10 @@
                         .setOffsetUnits(offset.units())
                         .setUnitsPerSecond(offset.unitsPerSecond())));
         totals.rates()
-                .forEach((service, rate) -> message.addRates(
-                        ServiceRate.newBuilder().setService(service.value()).setUnitsPerSecond(rate)));
+                .forEach((service, rate) -> message.addRates(ServiceRate.newBuilder()
+                        .setService(service.value())
+                        .setUnitsPerSecond(rate.unitsPerSecond())
+                        .setBackloggedWorkspaces(rate.backlogged())));
         return Frame.newBuilder().setFleetTotals(message).build();
     }
 
@@ -93,8 +95,11 @@
                         entry.getOffsetUnits(),
                         entry.getUnitsPerSecond()))
                 .toList();
-        Map<ServiceName, Long> rates = new HashMap<>();
-        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), rate.getUnitsPerSecond()));
+        Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
+        message.getRatesList()
+                .forEach(rate -> rates.put(
+                        new ServiceName(rate.getService()),
+                        new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
         return new FleetTotals(
                 message.getVersion(),
                 message.getAcknowledgedSequence(),
--- a/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/application/ApplicationStandIn.java
@@ -11,6 +11,7 @@
 import org.coltsfootquay.standin.fault.Counters;
 import org.coltsfootquay.standin.fault.FaultHandler;
 import org.coltsfootquay.standin.fault.FaultSwitches;
+import org.coltsfootquay.standin.fault.Outage;
 import org.coltsfootquay.standin.http.Exchange;
 import org.coltsfootquay.standin.http.JsonUtils;
 import org.coltsfootquay.standin.http.SharedEventLoops;
@@ -51,7 +52,7 @@
                         loop,
                         faults,
                         counters,
-                        Map.of("coldAgain", this::beginCold, "restart", this::restartInLoop),
+                        Map.of("coldAgain", this::beginCold, "restart", this::restart),
                         this::handle));
     }
 
@@ -114,12 +115,12 @@
 
     /** Makes the server cold; requests in flight go on. */
     public void turnCold() {
-        loop.submit(this::beginCold).syncUninterruptibly();
+        runInLoop(this::beginCold);
     }
 
     /** Restarts the server: requests in flight are lost and it is cold. */
     public void restart() {
-        loop.submit(this::restartInLoop).syncUninterruptibly();
+        runInLoop(this::restartInLoop);
         server.breakConnections();
     }
 
@@ -127,16 +128,29 @@
     @Override
     public void close() {
         server.close();
-        loop.submit(this::restartInLoop).syncUninterruptibly();
+        runInLoop(this::stop);
+    }
+
+    private void runInLoop(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.submit(task).syncUninterruptibly();
+        }
     }
 
     private void beginCold() {
         coldStart.begin(System.nanoTime());
     }
 
-    private void restartInLoop() {
+    private void stop() {
         incarnation++;
         inFlight = 0;
+        counters.set("running", 0);
+    }
+
+    private void restartInLoop() {
+        stop();
         long now = System.nanoTime();
         load.restart(now);
         coldStart.begin(now);
@@ -195,7 +209,7 @@
     }
 
     private long serviceNanos(long now) {
-        double millis = settings.serviceMillis();
+        double millis = settings.serviceMillis() * faults.current().slowFactor();
         if (inFlight > settings.capacity()) {
             millis *= (double) inFlight / settings.capacity();
         }
@@ -211,7 +225,12 @@
         counters.increment("completed");
         coldStart.completed();
         load.note(System.nanoTime(), inFlight, 0);
-        if (faults.losesAnswer()) {
+        Outage outage = faults.current().outage();
+        if (outage == Outage.SILENT) {
+            counters.increment("answersLost");
+            return;
+        }
+        if (outage == Outage.BROKEN || faults.losesAnswer()) {
             counters.increment("answersLost");
             exchange.abort();
             return;
