Report the traffic of routers by kind of message

Cause: control traffic misses its target of 4 KB/s and the report did not say why. Change: quickstart reports bytes a second by kind.

--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/ControlTraffic.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/ControlTraffic.java
@@ -6,16 +6,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * Bytes of control traffic, sent and received, summed over routers.
+ * Bytes that routers sent and received, summed over routers.
  *
- * @param controlBytes membership, ownership, configuration, totals and probes, with the calls to the platform
- * @param requestBytes messages between routers that belong to single requests
+ * @param bytesByKind bytes by kind of message; the calls to the platform have the kind {@code platform}
  */
-record ControlTraffic(long controlBytes, long requestBytes) {
+record ControlTraffic(Map<String, Long> bytesByKind) {
 
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final Pattern PLATFORM = Pattern.compile("platform_(sent|received)_bytes");
+    private static final Pattern PEER = Pattern.compile("peer_(?:sent|received)_bytes\\{kind=\"(\\w+)\"\\}");
+
+    /** Kinds of messages that belong to single requests; all others are control traffic. */
     private static final Set<String> REQUEST_KINDS = Set.of(
             "enqueue",
             "queued",
@@ -30,28 +36,60 @@
             "record_batch",
             "record_batch_reply");
 
+    /** Copies the map. */
+    ControlTraffic {
+        bytesByKind = Map.copyOf(bytesByKind);
+    }
+
     /** Adds up the counters in the metrics of routers. */
     static ControlTraffic of(List<String> metricsOfRouters) {
-        long control = 0;
-        long request = 0;
+        Map<String, Long> bytes = new TreeMap<>();
         try {
             for (String metrics : metricsOfRouters) {
-                JsonNode root = MAPPER.readTree(metrics);
-                for (Map.Entry<String, JsonNode> metric : root.path("gauges").properties()) {
-                    String name = metric.getKey();
-                    long value = metric.getValue().asLong();
-                    if (name.startsWith("platform_sent_bytes") || name.startsWith("platform_received_bytes")) {
-                        control += value;
-                    } else if (name.startsWith("peer_sent_bytes") || name.startsWith("peer_received_bytes")) {
-                        boolean ofRequest = REQUEST_KINDS.stream().anyMatch(kind -> name.contains("\"" + kind + "\""));
-                        control += ofRequest ? 0 : value;
-                        request += ofRequest ? value : 0;
+                for (Map.Entry<String, JsonNode> metric :
+                        MAPPER.readTree(metrics).path("gauges").properties()) {
+                    Matcher peer = PEER.matcher(metric.getKey());
+                    if (peer.matches()) {
+                        bytes.merge(peer.group(1), metric.getValue().asLong(), Long::sum);
+                    } else if (PLATFORM.matcher(metric.getKey()).matches()) {
+                        bytes.merge("platform", metric.getValue().asLong(), Long::sum);
                     }
                 }
             }
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("metrics are not JSON; see /metrics.json of a router", e);
         }
-        return new ControlTraffic(control, request);
+        return new ControlTraffic(bytes);
+    }
+
+    /** Returns the traffic since an earlier reading. */
+    ControlTraffic since(ControlTraffic earlier) {
+        Map<String, Long> difference = new TreeMap<>();
+        bytesByKind.forEach((kind, bytes) -> difference.put(kind, bytes - earlier.bytesByKind.getOrDefault(kind, 0L)));
+        return new ControlTraffic(difference);
+    }
+
+    /** Returns the bytes of messages that belong to single requests. */
+    long requestBytes() {
+        return bytesByKind.entrySet().stream()
+                .filter(entry -> REQUEST_KINDS.contains(entry.getKey()))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
+    /** Returns the bytes of membership, ownership, configuration, totals and probes, with the calls to the platform. */
+    long controlBytes() {
+        return bytesByKind.values().stream().mapToLong(Long::longValue).sum() - requestBytes();
+    }
+
+    /** Returns the rate of each kind of message that was used. */
+    Map<String, Double> perSecond(double seconds) {
+        Map<String, Double> rates = new TreeMap<>();
+        bytesByKind.forEach((kind, bytes) -> {
+            if (bytes > 0) {
+                rates.put(kind, Math.round(bytes / seconds * 10) / 10.0);
+            }
+        });
+        return rates;
     }
 }
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartReport.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartReport.java
@@ -16,6 +16,7 @@
  * @param idleWhileWaiting part of the engine slots that were free while requests waited
  * @param controlBytesPerSecond control traffic of one router, sent and received, in bytes a second
  * @param requestBytesPerSecond messages of single requests of one router, in bytes a second
+ * @param bytesPerSecondByKind the same by kind of message
  * @param controlCpuShare processor time of the control thread of one router, as a part of a core
  * @param zoneChange service while a zone left and returned
  * @param latencies latencies by class of work
@@ -33,6 +34,7 @@
         double idleWhileWaiting,
         double controlBytesPerSecond,
         double requestBytesPerSecond,
+        Map<String, Double> bytesPerSecondByKind,
         double controlCpuShare,
         ZoneChange zoneChange,
         Map<String, Latency> latencies,
@@ -43,6 +45,7 @@
     QuickstartReport {
         outcomes = Map.copyOf(outcomes);
         refusals = Map.copyOf(refusals);
+        bytesPerSecondByKind = Map.copyOf(bytesPerSecondByKind);
         latencies = Map.copyOf(latencies);
         violations = List.copyOf(violations);
     }
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartRun.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartRun.java
@@ -82,19 +82,13 @@
             waitUntil(run, endMillis);
             double measuredSeconds = (run.elapsedMillis() - measureFrom) / 1000.0;
             double cpuSeconds = cpu.seconds() - cpuBefore;
-            ControlTraffic traffic = ControlTraffic.of(fleet.metrics());
+            ControlTraffic traffic = ControlTraffic.of(fleet.metrics()).since(trafficBefore);
             run.stop();
             boolean idle = run.awaitIdle(IDLE_LIMIT);
             List<String> violations = violations(fleet, run, zone, idle);
             double perRouter = measuredSeconds * fleet.routers().size();
             return report(
-                    run.results(),
-                    sampler.summary(),
-                    zone,
-                    (traffic.controlBytes() - trafficBefore.controlBytes()) / perRouter,
-                    (traffic.requestBytes() - trafficBefore.requestBytes()) / perRouter,
-                    cpuSeconds / perRouter,
-                    violations);
+                    run.results(), sampler.summary(), zone, traffic, perRouter, cpuSeconds / perRouter, violations);
         }
     }
 
@@ -177,8 +171,8 @@
             List<CallResult> results,
             FleetSampler.Summary samples,
             ZoneTimes zone,
-            double controlBytes,
-            double requestBytes,
+            ControlTraffic traffic,
+            double perRouter,
             double cpuShare,
             List<String> violations) {
         long largest = QuickstartLoads.MAX_PROMPT_CHARS / BYTES_PER_TOKEN
@@ -199,8 +193,9 @@
                 bound / (double) largest,
                 samples.utilisation(),
                 samples.idleWhileWaiting(),
-                controlBytes,
-                requestBytes,
+                traffic.controlBytes() / perRouter,
+                traffic.requestBytes() / perRouter,
+                traffic.perSecond(perRouter),
                 cpuShare,
                 zoneChange(results, small, zone),
                 ResultUtils.latencies(results),
