--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.coltsfootquay.cli.capacity.CapacityCommand;
 import org.coltsfootquay.cli.operator.AddressesCommand;
 import org.coltsfootquay.cli.operator.ConfigCommand;
 import org.coltsfootquay.cli.operator.LeaveReturnCommand;
@@ -29,6 +30,7 @@
                 new QuickstartCommand(),
                 new RouterCommand(),
                 new StandInCommand(),
+                new CapacityCommand(),
                 new CheckConfigCommand(),
                 new ConfigCommand(),
                 LeaveReturnCommand.zone(),
--- a/cli/src/main/java/org/coltsfootquay/cli/measure/ControlMeter.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/measure/ControlMeter.java
@@ -15,7 +15,7 @@
 import org.coltsfootquay.protocol.generated.WorkspaceOffset;
 
 /** Bytes and processor time that control takes at one router. */
-final class ControlMeter {
+public final class ControlMeter {
 
     /** Frame length, and the headers of Ethernet, IP and TCP. */
     private static final int HEADER_BYTES = 78;
@@ -23,18 +23,35 @@
     private long bytes;
     private long cpuNanos;
 
-    <T> T timed(Supplier<T> work) {
+    /**
+     * Runs work and adds the time it took.
+     *
+     * @param work work
+     * @param <T> type of the result
+     * @return result
+     */
+    public <T> T timed(Supplier<T> work) {
         long begin = System.nanoTime();
         T result = work.get();
         cpuNanos += System.nanoTime() - begin;
         return result;
     }
 
-    void sent(UsageReport report) {
+    /**
+     * Adds the bytes of a report.
+     *
+     * @param report report
+     */
+    public void sent(UsageReport report) {
         add(encode(report));
     }
 
-    void sent(FleetTotals totals) {
+    /**
+     * Adds the bytes of totals.
+     *
+     * @param totals totals
+     */
+    public void sent(FleetTotals totals) {
         add(encode(totals));
     }
 
@@ -47,15 +64,26 @@
                 .build());
     }
 
-    long bytes() {
+    /**
+     * Returns the bytes so far, headers included.
+     *
+     * @return bytes
+     */
+    public long bytes() {
         return bytes;
     }
 
-    long cpuNanos() {
+    /**
+     * Returns the time of timed work so far.
+     *
+     * @return nanoseconds
+     */
+    public long cpuNanos() {
         return cpuNanos;
     }
 
-    void reset() {
+    /** Starts counting anew. */
+    public void reset() {
         bytes = 0;
         cpuNanos = 0;
     }
