Keep attempts and record writes apart over restarts

Cause: numbers of record writes began at 0 after each start, so a late result for a write of the former process could confirm the record of another request; request identifiers, which records name as their attempt, differed between starts only by the VM's clock. Change: numbers of record writes start at random; request identifiers carry a random part. Conclusion: a restart cannot make two attempts look like one.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.daemon;
 
 import io.vavr.control.Either;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -43,9 +44,11 @@
     private final Supplier<Collection<RouterId>> routers;
     private final RecordBatcher batcher = new RecordBatcher();
     private final Map<Long, Waiting> waiting = new HashMap<>();
-    private long nextCorrelation;
     private boolean scheduled;
 
+    /** Starts at random: a result for a write of this router before its restart must not be taken for a newer one. */
+    private long nextCorrelation = new SecureRandom().nextLong() >>> 1;
+
     private record Waiting(RouterId batching, Consumer<WriteResult> callback, long sinceNanos) {}
 
     RecordService(
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -80,8 +80,10 @@
                         .setOffsetUnits(offset.units())
                         .setUnitsPerSecond(offset.unitsPerSecond())));
         totals.rates()
-                .forEach((service, rate) -> message.addRates(
-                        ServiceRate.newBuilder().setService(service.value()).setUnitsPerSecond(rate.unitsPerSecond()).setBackloggedWorkspaces(rate.backlogged())));
+                .forEach((service, rate) -> message.addRates(ServiceRate.newBuilder()
+                        .setService(service.value())
+                        .setUnitsPerSecond(rate.unitsPerSecond())
+                        .setBackloggedWorkspaces(rate.backlogged())));
         return Frame.newBuilder().setFleetTotals(message).build();
     }
 
@@ -94,7 +96,10 @@
                         entry.getUnitsPerSecond()))
                 .toList();
         Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
-        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
+        message.getRatesList()
+                .forEach(rate -> rates.put(
+                        new ServiceName(rate.getService()),
+                        new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
         return new FleetTotals(
                 message.getVersion(),
                 message.getAcknowledgedSequence(),
--- a/router/src/main/java/org/coltsfootquay/router/entry/EntryRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/entry/EntryRouter.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.entry;
 
 import io.vavr.control.Either;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -56,7 +57,10 @@
      */
     public EntryRouter(EntryParts parts, long start, int maxRequests, Supplier<Optional<String>> obstacle) {
         this.parts = parts;
-        this.requestPrefix = parts.environment().self() + "-" + Long.toString(start, 36) + "-";
+        // The random part keeps identifiers apart when the clock of a VM steps back between two starts: records of
+        // non-idempotent requests name the identifier of the attempt that may send.
+        String random = Integer.toString(new SecureRandom().nextInt() >>> 1, Character.MAX_RADIX);
+        this.requestPrefix = parts.environment().self() + "-" + Long.toString(start, 36) + "-" + random + "-";
         this.maxRequests = maxRequests;
         this.obstacle = obstacle;
     }
