Freeze the limit while only a part of it may be used

Cause: with half a share the latency stays below the target, and the limit grew until the half was the former whole. Change: growth needs the whole share; queues of workspaces moved into a class of their own.

--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -20,7 +19,6 @@
 import org.coltsfootquay.decision.configuration.ClassOfWork;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.decision.configuration.ServiceKind;
-import org.coltsfootquay.decision.configuration.Workspace;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.UsageIncrement;
 import org.coltsfootquay.decision.limit.LimitSettings;
@@ -62,7 +60,7 @@
     private final LimitSettings limitSettings;
 
     private final ServerPool pool = new ServerPool();
-    private final Map<WorkspaceId, WorkspaceQueue> queues = new HashMap<>();
+    private final WorkspaceQueues queues;
     private final WaitingIndex waiting = new WaitingIndex();
     private final FlightIndex flights = new FlightIndex();
     private final Set<WorkspaceQueue> undrained = new LinkedHashSet<>();
@@ -105,6 +103,7 @@
         this.settings = ArgumentUtils.requireValue(settings, "settings");
         this.limitSettings = ArgumentUtils.requireValue(limitSettings, "limit settings");
         this.policy = create(ArgumentUtils.requireValue(policy, "policy"));
+        this.queues = new WorkspaceQueues(service, this.policy.withinWorkspace());
         this.preemption = new PreemptionPlanner(this.policy);
     }
 
@@ -235,7 +234,7 @@
         if (answeredAsDuplicate(request, now, actions)) {
             return;
         }
-        WorkspaceQueue queue = queue(request.workspace());
+        WorkspaceQueue queue = queues.get(request.workspace());
         Duration wait = estimatedWait(queue, now);
         if (stopping) {
             refuseOrRedirect(request, RefusalCode.STOPPING, actions);
@@ -367,7 +366,9 @@
         }
         ServerSlots server = flight.server;
         server.inFlight += change;
-        server.limit.occupied(server.inFlight, server.freeSlots() == 0);
+        // With a part of the limit the latency says nothing about the whole: the limit would grow until the part is as
+        // large as the whole was.
+        server.limit.occupied(server.inFlight, server.server.share() >= 1 && server.freeSlots() == 0);
         pool.update(server);
     }
 
@@ -530,10 +531,7 @@
             return;
         }
         configuration = changed;
-        for (WorkspaceQueue queue : queues.values()) {
-            queue.reservedPerSecond = reserved(queue.workspace);
-            policy.queueChanged(queue, now);
-        }
+        queues.configure(configuration).forEach(queue -> policy.queueChanged(queue, now));
         for (ServerSlots slots : pool.all()) {
             pool.update(slots);
         }
@@ -571,7 +569,7 @@
         for (InFlightEntry entry : requests) {
             Flight known = flights.get(entry.attempt());
             if (known == null || known.stage == Flight.Stage.HANDED_OVER) {
-                Flight flight = new Flight(entry, queue(entry.workspace()), slots, now);
+                Flight flight = new Flight(entry, queues.get(entry.workspace()), slots, now);
                 flights.add(flight);
                 occupy(flight, 1);
             }
@@ -683,19 +681,6 @@
                         .longValue();
     }
 
-    private WorkspaceQueue queue(WorkspaceId workspace) {
-        return queues.computeIfAbsent(workspace, id -> {
-            WorkspaceQueue queue = new WorkspaceQueue(id, policy.withinWorkspace());
-            queue.reservedPerSecond = reserved(id);
-            return queue;
-        });
-    }
-
-    private long reserved(WorkspaceId id) {
-        Workspace workspace = configuration.workspaces().get(id);
-        return workspace == null ? 0 : workspace.reserved(service);
-    }
-
     private static double mean(double former, double sample) {
         return former == 0 ? sample : former + MEAN_WEIGHT * (sample - former);
     }
--- a/decision/src/test/java/org/coltsfootquay/decision/dispatch/ServiceDispatcherTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/dispatch/ServiceDispatcherTest.java
@@ -94,6 +94,23 @@
         assertEquals(2, fixture.granted().size());
     }
 
+    @Test
+    void limitDoesNotGrowWhileOnlyPartOfItMayBeUsed() {
+        fixture.own("s1", 8);
+        fixture.handle(new DispatchEvent.ServersChanged(List.of(DispatchFixture.server("s1", 0.5, true, false))));
+        for (int i = 0; i < 20; i++) {
+            fixture.submit("a" + i, "w", 100);
+        }
+        for (int second = 0; second < 10; second++) {
+            fixture.handle(new DispatchEvent.Progressed(DispatchFixture.attempt("a0"), 10, 20));
+            fixture.handle(new DispatchEvent.Progressed(DispatchFixture.attempt("a1"), 10, 20));
+            fixture.handle(new DispatchEvent.Progressed(DispatchFixture.attempt("a2"), 10, 20));
+            fixture.handle(new DispatchEvent.Progressed(DispatchFixture.attempt("a3"), 10, 20));
+            fixture.advance(Duration.ofSeconds(1));
+        }
+        assertEquals(4, fixture.dispatcher.servers().get(0).capacity());
+    }
+
     @Test
     void repeatsGrantForRepeatedSubmission() {
         fixture.own("s1", 2);
