--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -14,6 +14,7 @@
 import org.coltsfootquay.decision.fairness.FleetTotals;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.TotalsNode;
+import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.RegionStoreReport;
@@ -25,17 +26,17 @@
 /** This router's part in the aggregation tree; runs on the control thread. */
 final class TotalsExchange {
 
-    /** Shorter than the shortest period of a node, which decides itself when a report is due. */
-    private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
+    /** Makes sure that the period of the node is over when its usage is drained. */
+    private static final Duration MARGIN = Duration.ofMillis(2);
 
     private final ControlThread control;
     private final Blackboard blackboard;
     private final OwnerRouter owner;
     private final OwnerPort peers;
+    private final RouterId self;
     private final RegionName region;
     private final TotalsNode node;
     private final SettledContact settled = new SettledContact();
-    private boolean draining;
 
     TotalsExchange(
             ControlThread control,
@@ -49,13 +50,14 @@
         this.blackboard = blackboard;
         this.owner = owner;
         this.peers = peers;
+        this.self = self;
         this.region = region;
         this.node = new TotalsNode(self, session);
     }
 
     void start() {
         blackboard.cell(MembershipView.TOPIC).subscribe(this::membersChanged);
-        control.timer().every("totals", CHECK_PERIOD, this::drain);
+        drainLater();
     }
 
     /** Takes a message of the tree; false when the frame is none. */
@@ -89,21 +91,22 @@
         node.otherRoots(otherRoots);
     }
 
-    private void drain() {
-        if (!draining) {
-            draining = true;
-            owner.drainUsage(usage -> control.execute(() -> exchange(usage)));
-        }
+    private void drainLater() {
+        control.timer()
+                .after(
+                        "totals",
+                        node.period().plus(MARGIN),
+                        () -> owner.drainUsage(usage -> control.execute(() -> exchange(usage))));
     }
 
     private void exchange(OwnerRouter.Usage usage) {
-        draining = false;
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
         usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
         StoreContact contact = blackboard.read(StoreContact.TOPIC);
         settled.own(contact.lastSettledNanos());
         node.local(
                 contact.reachable(),
+                RegionStoreReport.digest(self, blackboard.read(LeaseState.TOPIC).incarnation()),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
@@ -117,6 +120,7 @@
                 .forEach((child, totals) ->
                         peers.send(child, TotalsFrames.frame(totals, settled.ageOfRegion(node.isRoot(), now()))));
         publish();
+        drainLater();
     }
 
     private void publish() {
@@ -131,6 +135,7 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
+                        fleet.withoutStoreDigest(),
                         settled.lastSettledNanos(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
