Carry the digest of routers without the store along the tree

Change: TreeContact replaces SettledContact; fleet.proto has without_store_digest in UsageReport and FleetTotals.

--- a/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/dispatch/ServiceDispatcher.java
@@ -171,15 +171,6 @@
         return new ServiceTotals.OwnerLoad(self, stopping ? 0 : pool.freeSlots(), waiting.size(), wait);
     }
 
-    /**
-     * Returns the service.
-     *
-     * @return service whose requests wait here
-     */
-    public ServiceName service() {
-        return service;
-    }
-
     /**
      * Returns the state of the owned servers.
      *
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -14,6 +14,8 @@
 import org.coltsfootquay.decision.fairness.FleetTotals;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.TotalsNode;
+import org.coltsfootquay.decision.fairness.UsageReport;
+import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
 import org.coltsfootquay.decision.membership.RegionStoreReport;
@@ -32,9 +34,10 @@
     private final Blackboard blackboard;
     private final OwnerRouter owner;
     private final OwnerPort peers;
+    private final RouterId self;
     private final RegionName region;
     private final TotalsNode node;
-    private final SettledContact settled = new SettledContact();
+    private final TreeContact contact = new TreeContact();
 
     TotalsExchange(
             ControlThread control,
@@ -48,6 +51,7 @@
         this.blackboard = blackboard;
         this.owner = owner;
         this.peers = peers;
+        this.self = self;
         this.region = region;
         this.node = new TotalsNode(self, session);
     }
@@ -61,12 +65,19 @@
     boolean received(RouterId from, Frame frame) {
         switch (frame.getBodyCase()) {
             case USAGE_REPORT -> {
-                settled.report(from, frame.getUsageReport().getSettledAgeMillis(), now());
+                contact.report(
+                        from,
+                        frame.getUsageReport().getSettledAgeMillis(),
+                        frame.getUsageReport().getWithoutStoreDigest(),
+                        now());
                 node.receive(from, TotalsFrames.report(frame.getUsageReport()), now());
             }
             case FLEET_TOTALS -> {
                 if (node.parent().filter(from::equals).isPresent()) {
-                    settled.totals(frame.getFleetTotals().getSettledAgeMillis(), now());
+                    contact.totals(
+                            frame.getFleetTotals().getSettledAgeMillis(),
+                            frame.getFleetTotals().getWithoutStoreDigest(),
+                            now());
                 }
                 node.receive(from, TotalsFrames.totals(frame.getFleetTotals()), now());
             }
@@ -99,26 +110,39 @@
     private void exchange(OwnerRouter.Usage usage) {
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
         usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
-        StoreContact contact = blackboard.read(StoreContact.TOPIC);
-        settled.own(contact.lastSettledNanos());
+        StoreContact store = blackboard.read(StoreContact.TOPIC);
+        long digest = RegionStoreReport.digest(
+                self, blackboard.read(LeaseState.TOPIC).incarnation());
+        contact.own(store.lastSettledNanos(), store.reachable() ? 0 : digest);
+        contact.tick(now());
         node.local(
-                contact.reachable(),
+                store.reachable(),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
         output.parent()
                 .ifPresent(parent -> output.report()
                         .ifPresent(
-                                report -> peers.send(parent, TotalsFrames.frame(report, settled.ageOfSubtree(now())))));
+                                report -> peers.send(parent, frame(report))));
         output.exchange()
-                .forEach((root, report) -> peers.send(root, TotalsFrames.frame(report, settled.ageOfSubtree(now()))));
+                .forEach((root, report) -> peers.send(root, frame(report)));
         output.totals()
                 .forEach((child, totals) ->
-                        peers.send(child, TotalsFrames.frame(totals, settled.ageOfRegion(node.isRoot(), now()))));
+                        peers.send(child, frame(totals)));
         publish();
         drainLater();
     }
 
+    private Frame frame(UsageReport report) {
+        long age = TreeContact.ageMillis(contact.settledOfSubtree(now()), now());
+        return TotalsFrames.frame(report, age, contact.digestOfSubtree());
+    }
+
+    private Frame frame(FleetTotals totals) {
+        long age = TreeContact.ageMillis(contact.settledOfRegion(node.isRoot(), now()), now());
+        return TotalsFrames.frame(totals, age, contact.digestOfRegion(node.isRoot()));
+    }
+
     private void publish() {
         ServiceTotals totals = node.serviceTotals();
         if (totals.version() == blackboard.read(ServiceTotals.TOPIC).version()) {
@@ -131,7 +155,8 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
-                        settled.lastSettledNanos(node.isRoot(), now()),
+                        contact.digestOfRegion(node.isRoot()),
+                        contact.settledOfRegion(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -22,7 +22,7 @@
 
     private TotalsFrames() {}
 
-    static Frame frame(UsageReport report, long settledAgeMillis) {
+    static Frame frame(UsageReport report, long settledAgeMillis, long withoutStoreDigest) {
         var message = org.coltsfootquay.protocol.generated.UsageReport.newBuilder()
                 .setSequence(report.sequence())
                 .setIncarnation(report.session())
@@ -31,6 +31,7 @@
                 .setConfigurationVersion(report.configurationVersion())
                 .setIntervalMillis(report.ageMillis())
                 .setSettledAgeMillis(settledAgeMillis)
+                .setWithoutStoreDigest(withoutStoreDigest)
                 .addAllLoads(loads(report.loads()));
         report.usage()
                 .forEach(usage -> message.addUsage(ServiceUsage.newBuilder()
@@ -60,7 +61,7 @@
                 message.getIntervalMillis());
     }
 
-    static Frame frame(FleetTotals totals, long settledAgeMillis) {
+    static Frame frame(FleetTotals totals, long settledAgeMillis, long withoutStoreDigest) {
         var message = org.coltsfootquay.protocol.generated.FleetTotals.newBuilder()
                 .setVersion(totals.version())
                 .setAcknowledgedSequence(totals.acknowledgedSequence())
@@ -69,6 +70,7 @@
                 .setRoutersWithoutStore(totals.routersWithoutStore())
                 .setConfigurationVersion(totals.configurationVersion())
                 .setSettledAgeMillis(settledAgeMillis)
+                .setWithoutStoreDigest(withoutStoreDigest)
                 .addAllLoads(loads(totals.loads()));
         totals.offsets()
                 .forEach(offset -> message.addOffsets(WorkspaceOffset.newBuilder()
@@ -78,7 +80,10 @@
                         .setUnitsPerSecond(offset.unitsPerSecond())));
         totals.rates()
                 .forEach((service, rate) -> message.addRates(
-                        ServiceRate.newBuilder().setService(service.value()).setUnitsPerSecond(rate)));
+                        ServiceRate.newBuilder()
+                                .setService(service.value())
+                                .setUnitsPerSecond(rate.unitsPerSecond())
+                                .setBackloggedWorkspaces(rate.backlogged())));
         return Frame.newBuilder().setFleetTotals(message).build();
     }
 
@@ -90,8 +95,8 @@
                         entry.getOffsetUnits(),
                         entry.getUnitsPerSecond()))
                 .toList();
-        Map<ServiceName, Long> rates = new HashMap<>();
-        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), rate.getUnitsPerSecond()));
+        Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
+        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
         return new FleetTotals(
                 message.getVersion(),
                 message.getAcknowledgedSequence(),
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.owner;
 
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,6 +44,7 @@
     private final LongSupplier clock;
     private final DispatchThread thread;
     private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
+    private final Map<ServiceDispatcher, ServiceName> names = new IdentityHashMap<>();
     private OwnedServers owned = new OwnedServers(List.of());
     private ServiceTotals totals = ServiceTotals.TOPIC.initial();
     private FleetConfiguration configuration = FleetConfiguration.none();
@@ -365,12 +367,12 @@
         long now = clock.getAsLong();
         for (ServiceDispatcher dispatcher : dispatchers.values()) {
             run(dispatcher, new DispatchEvent.Ticked());
-            observer.ticked(dispatcher.service(), dispatcher, now);
+            observer.ticked(names.get(dispatcher), dispatcher, now);
             ServiceTotals.OwnerLoad load = dispatcher.load(now);
             sum += load.queueLength();
             if (!stopping) {
-                probes.due(dispatcher.service(), load, now)
-                        .ifPresent(target -> sendProbe(dispatcher.service(), load, target));
+                probes.due(names.get(dispatcher), load, now)
+                        .ifPresent(target -> sendProbe(names.get(dispatcher), load, target));
             }
         }
         waiting = sum;
@@ -383,6 +385,7 @@
         }
         ServiceDispatcher created = factory.apply(service);
         dispatchers.put(service, created);
+        names.put(created, service);
         run(created, new DispatchEvent.ConfigurationChanged(configuration));
         run(created, serversOf(service));
         run(created, new DispatchEvent.TotalsChanged(totals));
@@ -400,7 +403,7 @@
     private void run(ServiceDispatcher dispatcher, DispatchEvent event) {
         long now = clock.getAsLong();
         for (DispatchAction action : dispatcher.handle(event, now)) {
-            observer.acted(dispatcher.service(), action, dispatcher, now);
+            observer.acted(names.get(dispatcher), action, dispatcher, now);
             Optional<Frame> frame = OwnerFrames.frame(action);
             if (frame.isPresent()) {
                 frames.accept(action.entry(), frame.get());
