--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsExchange.java
@@ -14,7 +14,6 @@
 import org.coltsfootquay.decision.fairness.FleetTotals;
 import org.coltsfootquay.decision.fairness.ServiceTotals;
 import org.coltsfootquay.decision.fairness.TotalsNode;
-import org.coltsfootquay.decision.fairness.UsageReport;
 import org.coltsfootquay.decision.membership.LeaseState;
 import org.coltsfootquay.decision.membership.Member;
 import org.coltsfootquay.decision.membership.MembershipView;
@@ -37,7 +36,7 @@
     private final RouterId self;
     private final RegionName region;
     private final TotalsNode node;
-    private final TreeContact contact = new TreeContact();
+    private final SettledContact settled = new SettledContact();
 
     TotalsExchange(
             ControlThread control,
@@ -65,19 +64,12 @@
     boolean received(RouterId from, Frame frame) {
         switch (frame.getBodyCase()) {
             case USAGE_REPORT -> {
-                contact.report(
-                        from,
-                        frame.getUsageReport().getSettledAgeMillis(),
-                        frame.getUsageReport().getWithoutStoreDigest(),
-                        now());
+                settled.report(from, frame.getUsageReport().getSettledAgeMillis(), now());
                 node.receive(from, TotalsFrames.report(frame.getUsageReport()), now());
             }
             case FLEET_TOTALS -> {
                 if (node.parent().filter(from::equals).isPresent()) {
-                    contact.totals(
-                            frame.getFleetTotals().getSettledAgeMillis(),
-                            frame.getFleetTotals().getWithoutStoreDigest(),
-                            now());
+                    settled.totals(frame.getFleetTotals().getSettledAgeMillis(), now());
                 }
                 node.receive(from, TotalsFrames.totals(frame.getFleetTotals()), now());
             }
@@ -110,39 +102,27 @@
     private void exchange(OwnerRouter.Usage usage) {
         Map<ServiceName, List<ServiceTotals.OwnerLoad>> loads = new HashMap<>();
         usage.loads().forEach((service, load) -> loads.put(service, List.of(load)));
-        StoreContact store = blackboard.read(StoreContact.TOPIC);
-        long digest = RegionStoreReport.digest(
-                self, blackboard.read(LeaseState.TOPIC).incarnation());
-        contact.own(store.lastSettledNanos(), store.reachable() ? 0 : digest);
-        contact.tick(now());
+        StoreContact contact = blackboard.read(StoreContact.TOPIC);
+        settled.own(contact.lastSettledNanos());
         node.local(
-                store.reachable(),
+                contact.reachable(),
+                RegionStoreReport.digest(self, blackboard.read(LeaseState.TOPIC).incarnation()),
                 blackboard.read(ConfigurationTopic.IN_FORCE).version());
         node.charge(usage.increments(), loads, now());
         TotalsNode.Output output = node.tick(now());
         output.parent()
                 .ifPresent(parent -> output.report()
                         .ifPresent(
-                                report -> peers.send(parent, frame(report))));
+                                report -> peers.send(parent, TotalsFrames.frame(report, settled.ageOfSubtree(now())))));
         output.exchange()
-                .forEach((root, report) -> peers.send(root, frame(report)));
+                .forEach((root, report) -> peers.send(root, TotalsFrames.frame(report, settled.ageOfSubtree(now()))));
         output.totals()
                 .forEach((child, totals) ->
-                        peers.send(child, frame(totals)));
+                        peers.send(child, TotalsFrames.frame(totals, settled.ageOfRegion(node.isRoot(), now()))));
         publish();
         drainLater();
     }
 
-    private Frame frame(UsageReport report) {
-        long age = TreeContact.ageMillis(contact.settledOfSubtree(now()), now());
-        return TotalsFrames.frame(report, age, contact.digestOfSubtree());
-    }
-
-    private Frame frame(FleetTotals totals) {
-        long age = TreeContact.ageMillis(contact.settledOfRegion(node.isRoot(), now()), now());
-        return TotalsFrames.frame(totals, age, contact.digestOfRegion(node.isRoot()));
-    }
-
     private void publish() {
         ServiceTotals totals = node.serviceTotals();
         if (totals.version() == blackboard.read(ServiceTotals.TOPIC).version()) {
@@ -155,8 +135,8 @@
                 new RegionStoreReport(
                         fleet.routers(),
                         fleet.routersWithoutStore(),
-                        contact.digestOfRegion(node.isRoot()),
-                        contact.settledOfRegion(node.isRoot(), now()),
+                        fleet.withoutStoreDigest(),
+                        settled.lastSettledNanos(node.isRoot(), now()),
                         now() - Duration.ofMillis(fleet.ageMillis()).toNanos()));
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/TotalsFrames.java
@@ -22,16 +22,16 @@
 
     private TotalsFrames() {}
 
-    static Frame frame(UsageReport report, long settledAgeMillis, long withoutStoreDigest) {
+    static Frame frame(UsageReport report, long settledAgeMillis) {
         var message = org.coltsfootquay.protocol.generated.UsageReport.newBuilder()
                 .setSequence(report.sequence())
                 .setIncarnation(report.session())
                 .setRoutersInSubtree(report.routersInSubtree())
                 .setRoutersWithoutStore(report.routersWithoutStore())
+                .setWithoutStoreDigest(report.withoutStoreDigest())
                 .setConfigurationVersion(report.configurationVersion())
                 .setIntervalMillis(report.ageMillis())
                 .setSettledAgeMillis(settledAgeMillis)
-                .setWithoutStoreDigest(withoutStoreDigest)
                 .addAllLoads(loads(report.loads()));
         report.usage()
                 .forEach(usage -> message.addUsage(ServiceUsage.newBuilder()
@@ -57,20 +57,21 @@
                 loads(message.getLoadsList()),
                 message.getRoutersInSubtree(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion(),
                 message.getIntervalMillis());
     }
 
-    static Frame frame(FleetTotals totals, long settledAgeMillis, long withoutStoreDigest) {
+    static Frame frame(FleetTotals totals, long settledAgeMillis) {
         var message = org.coltsfootquay.protocol.generated.FleetTotals.newBuilder()
                 .setVersion(totals.version())
                 .setAcknowledgedSequence(totals.acknowledgedSequence())
                 .setAgeMillis(totals.ageMillis())
                 .setRouters(totals.routers())
                 .setRoutersWithoutStore(totals.routersWithoutStore())
+                .setWithoutStoreDigest(totals.withoutStoreDigest())
                 .setConfigurationVersion(totals.configurationVersion())
                 .setSettledAgeMillis(settledAgeMillis)
-                .setWithoutStoreDigest(withoutStoreDigest)
                 .addAllLoads(loads(totals.loads()));
         totals.offsets()
                 .forEach(offset -> message.addOffsets(WorkspaceOffset.newBuilder()
@@ -79,11 +80,10 @@
                         .setOffsetUnits(offset.units())
                         .setUnitsPerSecond(offset.unitsPerSecond())));
         totals.rates()
-                .forEach((service, rate) -> message.addRates(
-                        ServiceRate.newBuilder()
-                                .setService(service.value())
-                                .setUnitsPerSecond(rate.unitsPerSecond())
-                                .setBackloggedWorkspaces(rate.backlogged())));
+                .forEach((service, rate) -> message.addRates(ServiceRate.newBuilder()
+                        .setService(service.value())
+                        .setUnitsPerSecond(rate.unitsPerSecond())
+                        .setBackloggedWorkspaces(rate.backlogged())));
         return Frame.newBuilder().setFleetTotals(message).build();
     }
 
@@ -96,7 +96,10 @@
                         entry.getUnitsPerSecond()))
                 .toList();
         Map<ServiceName, FleetTotals.Rate> rates = new HashMap<>();
-        message.getRatesList().forEach(rate -> rates.put(new ServiceName(rate.getService()), new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
+        message.getRatesList()
+                .forEach(rate -> rates.put(
+                        new ServiceName(rate.getService()),
+                        new FleetTotals.Rate(rate.getUnitsPerSecond(), rate.getBackloggedWorkspaces())));
         return new FleetTotals(
                 message.getVersion(),
                 message.getAcknowledgedSequence(),
@@ -106,6 +109,7 @@
                 loads(message.getLoadsList()),
                 message.getRouters(),
                 message.getRoutersWithoutStore(),
+                message.getWithoutStoreDigest(),
                 message.getConfigurationVersion());
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
+++ b/router/src/main/java/org/coltsfootquay/router/owner/OwnerRouter.java
@@ -44,7 +44,7 @@
     private final LongSupplier clock;
     private final DispatchThread thread;
     private final Map<ServiceName, ServiceDispatcher> dispatchers = new TreeMap<>();
-    private final Map<ServiceDispatcher, ServiceName> names = new IdentityHashMap<>();
+    private final IdentityHashMap<ServiceDispatcher, ServiceName> names = new IdentityHashMap<>();
     private OwnedServers owned = new OwnedServers(List.of());
     private ServiceTotals totals = ServiceTotals.TOPIC.initial();
     private FleetConfiguration configuration = FleetConfiguration.none();
