Let small regions say which members each router has read

Cause: claims of servers that ignore fencing numbers waited up to 13 s after a start, or for the VM list.

--- a/decision/src/main/java/org/coltsfootquay/decision/control/ControlPlane.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/control/ControlPlane.java
@@ -58,7 +58,7 @@
         membership = new MembershipController(
                 ports.store(), watcher, timer, blackboard, ports.timeline(), random, settings.membership());
         remover = new ExpiredMemberRemover(ports.store(), watcher, timer, blackboard, settings.membership());
-        established = new EstablishedMembers(ports.store(), timer, blackboard, settings.membership());
+        established = new EstablishedMembers(ports.store(), watcher, timer, blackboard, settings.membership());
         gone = new GoneRouters(ports.vms(), timer);
         contact = new ContactController(timer, blackboard, settings.membership().id(), settings.contact());
         configuration = new ConfigurationController(
--- a/decision/src/main/java/org/coltsfootquay/decision/membership/EstablishedMembers.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/EstablishedMembers.java
@@ -8,6 +8,7 @@
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.store.Row;
+import org.coltsfootquay.decision.store.StoreWatcher;
 import org.coltsfootquay.decision.store.TableStore;
 import org.coltsfootquay.decision.timer.TimerService;
 
@@ -17,13 +18,15 @@
  * <p>A holder that relies on an outage of the store asks only the routers in its last view. A router that joined after
  * that view was read must not claim from it. A router that renewed its lease after this one joined has read this one's
  * row, because a renewal is sent only shortly after a poll. One read of all rows, a lease and a poll after the join,
- * shows which routers renewed since; routers that join later read this one's row first.
+ * shows which routers renewed since; routers that join later read this one's row first. In small regions the rows say
+ * earlier which members a router has read.
  */
 public final class EstablishedMembers {
 
     private static final Duration PERIOD = Duration.ofSeconds(1);
 
     private final TableStore store;
+    private final StoreWatcher watcher;
     private final TimerService timer;
     private final Blackboard blackboard;
     private final MembershipSettings settings;
@@ -38,13 +41,19 @@
      * Creates an empty set that does nothing until {@link #start()}.
      *
      * @param store table service
+     * @param watcher copy of the watched rows
      * @param timer timer service
      * @param blackboard blackboard with {@link LeaseState#TOPIC} and {@link MembershipView#TOPIC}
      * @param settings settings of the membership controller
      */
     public EstablishedMembers(
-            TableStore store, TimerService timer, Blackboard blackboard, MembershipSettings settings) {
+            TableStore store,
+            StoreWatcher watcher,
+            TimerService timer,
+            Blackboard blackboard,
+            MembershipSettings settings) {
         this.store = ArgumentUtils.requireValue(store, "store");
+        this.watcher = ArgumentUtils.requireValue(watcher, "watcher");
         this.timer = ArgumentUtils.requireValue(timer, "timer");
         this.blackboard = ArgumentUtils.requireValue(blackboard, "blackboard");
         this.settings = ArgumentUtils.requireValue(settings, "settings");
@@ -121,6 +130,11 @@
         if (self == null || self.incarnation() != joinedIncarnation) {
             return;
         }
+        for (Row row : watcher.rows(MemberRow.PREFIX)) {
+            if (!row.expired() && MemberRow.of(row).seenRevision() >= self.joinRevision()) {
+                add(row);
+            }
+        }
         view.members().values().stream()
                 .filter(member -> member.joinRevision() > self.joinRevision())
                 .forEach(member -> incarnations.merge(member.id(), member.incarnation(), Math::max));
--- a/decision/src/main/java/org/coltsfootquay/decision/membership/ExpiredMemberRemover.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/ExpiredMemberRemover.java
@@ -36,6 +36,8 @@
     private final MembershipSettings settings;
 
     private TimerService.Subscription subscription;
+    private long targetChanges = -1;
+    private Optional<Row> target = Optional.empty();
     private boolean busy;
     private boolean stopped;
     private Runnable stopCallback;
@@ -86,9 +88,14 @@
 
     private void check() {
         if (!busy && !stopped && mayRemove()) {
-            Optional<Row> suspect =
-                    watcher.rows(MemberRow.PREFIX).stream().filter(Row::expired).findFirst();
-            suspect.or(this::successor).ifPresent(row -> {
+            if (watcher.changeCount() != targetChanges) {
+                targetChanges = watcher.changeCount();
+                target = watcher.rows(MemberRow.PREFIX).stream()
+                        .filter(Row::expired)
+                        .findFirst()
+                        .or(this::successor);
+            }
+            target.ifPresent(row -> {
                 busy = true;
                 store.read(row.key(), result -> {
                     if (result.isLeft()) {
--- a/decision/src/main/java/org/coltsfootquay/decision/membership/MemberRow.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MemberRow.java
@@ -12,9 +12,10 @@
  *
  * @param member the router as a member
  * @param instance random text that tells two processes with one identifier apart
+ * @param seenRevision join revision of the newest member of the region that the router has read
  * @param releasedRevision revision of the store up to which the router has given up all servers that others claimed
  */
-public record MemberRow(Member member, String instance, long releasedRevision) {
+public record MemberRow(Member member, String instance, long seenRevision, long releasedRevision) {
 
     /** Prefix of the keys of membership rows. */
     public static final String PREFIX = "router/";
@@ -51,6 +52,7 @@
         return new MemberRow(
                 member,
                 value.text("instance"),
+                Long.parseLong(value.optionalText("seenRevision").orElse("0")),
                 Long.parseLong(value.optionalText("releasedRevision").orElse("0")));
     }
 
@@ -69,6 +71,7 @@
                 "state", member.leaving() ? "leaving" : "running",
                 "joinRevision", Long.toString(member.joinRevision()),
                 "instance", instance,
+                "seenRevision", Long.toString(seenRevision),
                 "releasedRevision", Long.toString(releasedRevision)));
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipController.java
@@ -35,6 +35,9 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
     private static final int DELETE_ATTEMPTS = 4;
 
+    /** Size of a region up to which routers write whom they have read; 390 writes for each start would be too many. */
+    private static final int LARGEST_ANNOUNCING_REGION = 32;
+
     private final TableStore store;
     private final StoreWatcher watcher;
     private final TimerService timer;
@@ -55,6 +58,7 @@
     private long firstUnknownJoinNanos = Long.MAX_VALUE;
     private RowValue written = RowValue.empty();
     private long joinRevision;
+    private long seenRevision;
     private long releasedRevision;
     private long publishedChanges = -1;
     private boolean leaving;
@@ -201,7 +205,7 @@
                 settings.peerAddress(),
                 leaving,
                 joinRevision);
-        return new MemberRow(member, instance, releasedRevision);
+        return new MemberRow(member, instance, seenRevision, releasedRevision);
     }
 
     private void send(RowWrite write) {
@@ -374,11 +378,28 @@
             }
         }
         MembershipView view = new MembershipView(members, watcher.revision());
+        noteSeen(view);
         if (!view.equals(blackboard.read(MembershipView.TOPIC))) {
             blackboard.write(MembershipView.TOPIC, view);
         }
     }
 
+    /** Writes the newest member that this router has read, so that the member may rely on being known. */
+    private void noteSeen(MembershipView view) {
+        long seen = view.members().values().stream()
+                .filter(member -> member.region().equals(settings.region()))
+                .mapToLong(Member::joinRevision)
+                .filter(joined -> joined <= watcher.revision())
+                .max()
+                .orElse(0);
+        if (phase == Phase.HELD
+                && seen > seenRevision
+                && view.ranked(settings.region()).size() <= LARGEST_ANNOUNCING_REGION) {
+            seenRevision = seen;
+            writeSoon(Duration.ofNanos(Math.round(RETRY_DELAY.toNanos() * random.nextDouble())));
+        }
+    }
+
     private void publishLease() {
         blackboard.write(
                 LeaseState.TOPIC, new LeaseState(phase, incarnation, rowRevision, validUntilNanos, confirmedNanos));
