Skip parsing of membership rows for servers whose owner is a member

Cause: planning claims parsed one membership row for each of 1,600 servers a second. Change: the parsed members decide first.

--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ClaimPlanner.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ClaimPlanner.java
@@ -135,6 +135,10 @@
                     new ClaimPlan(basis, Optional.empty(), Optional.empty(), ShareRule.known(content.lapsed(), view)));
         }
         RouterId holder = content.holder().get();
+        Member member = view.members().get(holder);
+        if (member != null && member.incarnation() == content.incarnation()) {
+            return Optional.empty();
+        }
         Optional<Row> holderRow = watcher.row(MemberRow.key(holder)).filter(found -> !found.expired());
         if (holderRow.isPresent()) {
             boolean newer = MemberRow.of(holderRow.get()).member().incarnation() > content.incarnation();
