Bound the ramp by what was tried; poll the store again within 1 s of a failure

Without history the ramp added a slot for each completed request, also when slots were unused and several times within one latency window, so limits rose far above what an engine had been tried with and two engines were overloaded until they failed after a zone had left. Ruled out: the additive growth, which needs fully used slots and latency within target. In the fault runs a router could stay 6 s without contact after a fault had ended, because the poll backed off for up to 4 s; the checker had been set to 7 s for that. Change: the ramp at most doubles in a window and stays below twice the requests in flight; two ramp tests now complete requests in use, and two tests are added. The longest backoff is 1 s, and the checker is back at 3 s.

--- a/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/limit/ServerLimit.java
@@ -23,6 +23,9 @@
     /** Part of the target that a cut aims at: a cut to 0.7 for an excess of a few percent leaves capacity unused. */
     private static final double BELOW_TARGET = 0.97;
 
+    /** Largest growth of the limit in one window of the ramp. */
+    private static final double RAMP_GROWTH = 2;
+
     /** Windows that must be seen before "usual" latency is known. */
     private static final int USUAL_WINDOWS = 5;
 
@@ -37,6 +40,10 @@
     /** Requests in flight as last reported by the dispatcher. */
     private int inFlight;
 
+    /** Most requests in flight since the present window began. */
+    private int peakInFlight;
+
+    private double windowStartLimit = 1;
     private boolean fullyUsed;
 
     /** Whether a window since the last growth had samples and was within the target; silence is no reason to grow. */
@@ -127,6 +134,7 @@
      */
     public void occupied(int requests, boolean full) {
         inFlight = requests;
+        peakInFlight = Math.max(peakInFlight, requests);
         fullyUsed |= full;
     }
 
@@ -153,7 +161,8 @@
      */
     public void completed(ClassName classOfWork, long serverMillis, long nowNanos) {
         if (ramping) {
-            limit = Math.min(bearableRequests > 0 ? bearableRequests : settings.largest(), limit + 1);
+            double ceiling = bearableRequests > 0 ? bearableRequests : settings.largest();
+            limit = Math.min(ceiling, Math.max(limit, Math.min(limit + 1, rampCeiling())));
             if (formerLimit > 0 && limit >= formerLimit) {
                 limit = formerLimit;
                 endRamp(nowNanos);
@@ -334,6 +343,16 @@
         }
     }
 
+    /**
+     * Returns the limit up to which the ramp may grow now.
+     *
+     * <p>Latency is known one window late. Without a bound short requests doubled the limit several times within a
+     * window, and requests that left slots unused raised it far beyond what the server had ever been tried with.
+     */
+    private double rampCeiling() {
+        return Math.min(RAMP_GROWTH * windowStartLimit, RAMP_GROWTH * Math.max(1, peakInFlight));
+    }
+
     private void endRamp(long nowNanos) {
         ramping = false;
         grownNanos = nowNanos;
@@ -343,5 +362,7 @@
         windowNanos = nowNanos;
         windowSum = 0;
         windowSamples = 0;
+        windowStartLimit = limit;
+        peakInFlight = inFlight;
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/simulation/FleetChecker.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/simulation/FleetChecker.java
@@ -28,8 +28,8 @@
 /** Checks the invariants of a simulated fleet after each step, and whether it has settled. */
 public final class FleetChecker {
 
-    /** Time without faults after which a router has contact: the longest backoff, one timeout and a second. */
-    private static final Duration CONNECTED_AFTER = Duration.ofSeconds(7);
+    /** Time without faults after which a router has contact: the longest backoff of 1 s and one call timeout of 2 s. */
+    private static final Duration CONNECTED_AFTER = Duration.ofSeconds(3);
 
     private final SimulatedFleet fleet;
     private final ShareInvariant shares;
--- a/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcherSettings.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/store/StoreWatcherSettings.java
@@ -32,9 +32,11 @@
     /**
      * Returns the settings of the design: one poll a second over configuration, routers and servers.
      *
-     * <p>The longest backoff stays below the settling time, so that after an outage every holder can renew before
-     * another router claims. The settling time of 12 s exceeds the 8 s for which a holder relies on a report of an
-     * outage, so that the holder has reduced its share before another router claims.
+     * <p>With a longest backoff of 1 s, polls are no more frequent during an outage than in normal operation, and a
+     * router is back in contact within one call timeout and 1 s. The backoff stays below the settling time, so that
+     * after an outage every holder can renew before another router claims. The settling time of 12 s exceeds the 8 s
+     * for which a holder relies on a report of an outage, so that the holder has reduced its share before another
+     * router claims.
      *
      * @return settings
      */
@@ -42,7 +44,7 @@
         return new StoreWatcherSettings(
                 List.of("config/", "router/", "server/"),
                 Duration.ofSeconds(1),
-                Duration.ofSeconds(4),
+                Duration.ofSeconds(1),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(12));
     }
--- a/decision/src/test/java/org/coltsfootquay/decision/limit/ServerLimitTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/limit/ServerLimitTest.java
@@ -79,16 +79,55 @@
         limit.restore(4, false);
         limit.foundCold(OptionalInt.empty(), now);
         assertEquals(1, limit.limit());
-        limit.completed(CLASS, 1_000, now);
-        limit.completed(CLASS, 1_000, now);
+        completeInUse();
+        assertEquals(2, limit.limit());
+        nextWindow();
+        completeInUse();
         assertEquals(3, limit.limit());
         assertTrue(limit.ramping());
-        limit.completed(CLASS, 1_000, now);
-        limit.completed(CLASS, 1_000, now);
+        completeInUse();
+        completeInUse();
         assertEquals(4, limit.limit());
         assertFalse(limit.ramping());
     }
 
+    @Test
+    void rampAtMostDoublesInOneWindowOfLatency() {
+        limit.restore(1_000, false);
+        limit.foundCold(OptionalInt.empty(), now);
+        for (int expected : new int[] {2, 4, 8, 16}) {
+            for (int i = 0; i < 100; i++) {
+                completeInUse();
+            }
+            assertEquals(expected, limit.limit());
+            nextWindow();
+        }
+    }
+
+    @Test
+    void rampDoesNotGrowFarBeyondTheRequestsInFlight() {
+        limit.restore(1_000, false);
+        limit.foundCold(OptionalInt.empty(), now);
+        for (int window = 0; window < 20; window++) {
+            limit.occupied(3, false);
+            for (int i = 0; i < 100; i++) {
+                limit.completed(CLASS, 300, now);
+            }
+            nextWindow();
+        }
+        assertEquals(6, limit.limit());
+    }
+
+    private void completeInUse() {
+        limit.occupied(limit.limit(), true);
+        limit.completed(CLASS, 300, now);
+    }
+
+    private void nextWindow() {
+        now += Duration.ofSeconds(1).toNanos();
+        limit.tick(now);
+    }
+
     @Test
     void rampBeginsWithWhatTheServerCanHandle() {
         limit.restore(40, false);
@@ -116,7 +155,8 @@
     @Test
     void serverWithoutHistoryLeavesRampAtFirstSlowTokens() {
         for (int i = 0; i < 9; i++) {
-            limit.completed(CLASS, 1_000, now);
+            completeInUse();
+            nextWindow();
         }
         assertEquals(10, limit.limit());
         seconds(2, 80, false);
