Add the measure command

Cause: the measurement had no command. Change: measure SCENARIO with policy, size, seconds, seed and report; report files, policy names and numbers are read in CommandUtils for all commands.

--- a/cli/src/main/java/org/coltsfootquay/cli/CommandUtils.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/CommandUtils.java
@@ -1,11 +1,23 @@
 package org.coltsfootquay.cli;
 
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
+import org.coltsfootquay.decision.dispatch.PolicyName;
 
 /** Checks of options and arguments. */
 public final class CommandUtils {
 
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .enable(SerializationFeature.INDENT_OUTPUT)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .build();
+
     private CommandUtils() {}
 
     /**
@@ -69,4 +81,38 @@
         }
         throw new UsageException("--" + option + " is " + value + "; use a whole number from " + min + " to " + max);
     }
+
+    /**
+     * Returns the order policy named by the option {@code --policy}.
+     *
+     * @param line parsed command line
+     * @return policy; {@code fleet} when the option is absent
+     * @throws UsageException if there is no such policy
+     */
+    public static PolicyName policy(CommandLine line) throws UsageException {
+        String name = line.getOptionValue("policy", "fleet");
+        try {
+            return PolicyName.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        } catch (IllegalArgumentException e) {
+            throw new UsageException("--policy is '" + name + "'; use fleet, per-router or fifo");
+        }
+    }
+
+    /**
+     * Writes a report as JSON to the file named by the option {@code --report}, if it is present.
+     *
+     * @param line parsed command line
+     * @param report report
+     * @throws CommandException if the file cannot be written
+     */
+    public static void writeReport(CommandLine line, Object report) throws CommandException {
+        if (!line.hasOption("report")) {
+            return;
+        }
+        try {
+            Files.writeString(Path.of(line.getOptionValue("report")), MAPPER.writeValueAsString(report) + "\n");
+        } catch (IOException e) {
+            throw new CommandException("--report cannot be written (" + e + "); pass a writable file", e);
+        }
+    }
 }
--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.cli.capacity.CapacityCommand;
+import org.coltsfootquay.cli.measure.MeasureCommand;
 import org.coltsfootquay.cli.operator.AddressesCommand;
 import org.coltsfootquay.cli.operator.ConfigCommand;
 import org.coltsfootquay.cli.operator.LeaveReturnCommand;
@@ -30,6 +31,7 @@
                 new QuickstartCommand(),
                 new RouterCommand(),
                 new StandInCommand(),
+                new MeasureCommand(),
                 new CapacityCommand(),
                 new CheckConfigCommand(),
                 new ConfigCommand(),
--- a/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/quickstart/QuickstartCommand.java
@@ -1,10 +1,5 @@
 package org.coltsfootquay.cli.quickstart;
 
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Locale;
 import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
@@ -16,17 +11,12 @@
 import org.coltsfootquay.cli.Console;
 import org.coltsfootquay.cli.LogUtils;
 import org.coltsfootquay.cli.UsageException;
-import org.coltsfootquay.decision.dispatch.PolicyName;
 
 /** Runs a small fleet with stand-ins in this process under load and reports its measures. */
 public final class QuickstartCommand implements Command {
 
     private static final long DEFAULT_SECONDS = 18;
     private static final long DEFAULT_SEED = 1;
-    private static final JsonMapper MAPPER = JsonMapper.builder()
-            .enable(SerializationFeature.INDENT_OUTPUT)
-            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
-            .build();
 
     @Override
     public String name() {
@@ -57,27 +47,12 @@
         long seconds = CommandUtils.number(line, "seconds", 8, 600, DEFAULT_SECONDS);
         long seed = CommandUtils.number(line, "seed", 0, Long.MAX_VALUE, DEFAULT_SEED);
         LogUtils.writeTo(console.err(), Level.WARNING);
-        QuickstartReport report = new QuickstartRun(seconds, seed, policy(line), console).run();
+        QuickstartReport report = new QuickstartRun(seconds, seed, CommandUtils.policy(line), console).run();
         print(report, console);
-        if (line.hasOption("report")) {
-            try {
-                Files.writeString(Path.of(line.getOptionValue("report")), MAPPER.writeValueAsString(report) + "\n");
-            } catch (IOException e) {
-                throw new CommandException("--report cannot be written (" + e + "); pass a writable file", e);
-            }
-        }
+        CommandUtils.writeReport(line, report);
         return report.violations().isEmpty() ? CommandRunner.EXIT_OK : CommandRunner.EXIT_FAILURE;
     }
 
-    private static PolicyName policy(CommandLine line) throws UsageException {
-        String name = line.getOptionValue("policy", "fleet");
-        try {
-            return PolicyName.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
-        } catch (IllegalArgumentException e) {
-            throw new UsageException("--policy is '" + name + "'; use fleet, per-router or fifo");
-        }
-    }
-
     private static void print(QuickstartReport report, Console console) {
         console.print(String.format(Locale.ROOT, "requests              %d %s", report.requests(), report.outcomes()));
         if (!report.refusals().isEmpty()) {
--- a/cli/src/main/java/org/coltsfootquay/cli/soak/SoakCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/soak/SoakCommand.java
@@ -5,6 +5,7 @@
 import org.apache.commons.cli.Options;
 import org.coltsfootquay.cli.Command;
 import org.coltsfootquay.cli.CommandRunner;
+import org.coltsfootquay.cli.CommandUtils;
 import org.coltsfootquay.cli.Console;
 import org.coltsfootquay.cli.UsageException;
 
@@ -37,8 +38,8 @@
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException {
-        long seed = number(line, "seed", 1);
-        Duration limit = Duration.ofMinutes(number(line, "minutes", 5));
+        long seed = CommandUtils.number(line, "seed", 0, Long.MAX_VALUE, 1);
+        Duration limit = Duration.ofMinutes(CommandUtils.number(line, "minutes", 1, 1_440, 5));
         SoakRun.Outcome outcome = new SoakRun(seed, limit, System::nanoTime, console::report).run();
         outcome.violation().ifPresent(console::print);
         console.print("runs=" + outcome.runs() + " simulated_hours="
@@ -46,13 +47,4 @@
                 + (outcome.violation().isPresent() ? 1 : 0));
         return outcome.violation().isPresent() ? EXIT_VIOLATION : CommandRunner.EXIT_OK;
     }
-
-    private static long number(CommandLine line, String option, long other) throws UsageException {
-        String text = line.getOptionValue(option, Long.toString(other));
-        try {
-            return Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            throw new UsageException("--" + option + " must be a whole number but is " + text);
-        }
-    }
 }
