Report totals only when due in the capacity probe; join timeline events by request

Cause: the probe ticked nodes that were not due. A workspace filter hid the owner's events, which do not name the workspace. Change: the probe follows the node's period; timeline filters keep all events of the requests they match.

--- a/cli/src/main/java/org/coltsfootquay/cli/capacity/TotalsProbe.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/capacity/TotalsProbe.java
@@ -76,7 +76,7 @@
                 meters.values().forEach(ControlMeter::reset);
             }
             long now = step * STEP_NANOS;
-            for (int i = 0; i < count; i++) {
+            for (int i = count - 1; i >= 0; i--) {
                 step(members.get(i), i, nodes, meters, backlogged, now);
             }
         }
@@ -104,6 +104,9 @@
             int backlogged,
             long now) {
         TotalsNode node = nodes.get(id);
+        if (!node.due(now)) {
+            return;
+        }
         ControlMeter meter = meters.get(id);
         ServiceName service = new ServiceName("model-" + index % 7);
         List<UsageIncrement> usage = new ArrayList<>();
--- a/cli/src/main/java/org/coltsfootquay/cli/timeline/MergedTimeline.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/timeline/MergedTimeline.java
@@ -5,12 +5,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.coltsfootquay.router.timeline.TimelineEntry;
 
 /** Events of all processes in one order that keeps the order of each process and puts causes before effects. */
 public final class MergedTimeline {
 
+    private static final String REQUEST = "request";
+
     private final List<Moment> moments;
     private final Map<String, Long> offsetsMicros;
 
@@ -82,6 +87,24 @@
                 offsetsMicros);
     }
 
+    /**
+     * Returns the events that meet a condition and all other events about the same requests; the owner of a server, for
+     * example, records requests without their workspace.
+     *
+     * @param condition condition
+     * @return time line with the same order and offsets
+     */
+    public MergedTimeline about(Predicate<TimelineEntry> condition) {
+        Set<String> requests = moments.stream()
+                .map(Moment::entry)
+                .filter(condition)
+                .map(entry -> entry.event().fields().get(REQUEST))
+                .filter(Objects::nonNull)
+                .collect(Collectors.toSet());
+        return filter(entry -> condition.test(entry)
+                || requests.contains(entry.event().fields().getOrDefault(REQUEST, "")));
+    }
+
     /** Orders entries by time after raising the time of an effect to that of its latest cause. */
     private static final class Ordering {
 
--- a/cli/src/main/java/org/coltsfootquay/cli/timeline/TimelineCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/timeline/TimelineCommand.java
@@ -69,7 +69,7 @@
         if (line.getArgList().isEmpty() && !line.hasOption("router")) {
             throw new UsageException("neither --router nor a file is given; add one of them");
         }
-        MergedTimeline merged = MergedTimeline.of(entries).filter(condition(line));
+        MergedTimeline merged = MergedTimeline.of(entries).about(condition(line));
         write(line, printer.print(merged), console);
         return CommandRunner.EXIT_OK;
     }
--- a/cli/src/test/java/org/coltsfootquay/cli/timeline/MergedTimelineTest.java
+++ b/cli/src/test/java/org/coltsfootquay/cli/timeline/MergedTimelineTest.java
@@ -70,6 +70,16 @@
         assertEquals(3, filtered.moments().size());
     }
 
+    @Test
+    void eventsOfOtherProcessesAboutTheSameRequestAreKept() {
+        List<TimelineEntry> entries = new ArrayList<>(requests(0));
+        entries.add(new TimelineEntry(
+                "r1", 99, 1, TimelineEvent.of(EventKind.REQUEST_ADMITTED, "request", "q3", "workspace", "w")));
+        MergedTimeline about = MergedTimeline.of(entries)
+                .about(entry -> "w".equals(entry.event().fields().get("workspace")));
+        assertEquals(4, about.moments().size());
+    }
+
     @Test
     void pageEscapesFieldValues() {
         TimelineEntry hostile = new TimelineEntry(
