--- a/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipView.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/MembershipView.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.coltsfootquay.decision.blackboard.Topic;
 import org.coltsfootquay.decision.common.RegionName;
 import org.coltsfootquay.decision.common.RouterId;
@@ -21,9 +20,6 @@
     /** Topic written by the membership controller. */
     public static final Topic<MembershipView> TOPIC = new Topic<>("membership", new MembershipView(Map.of(), 0));
 
-    /** Number of children of a node of the aggregation tree. */
-    public static final int TREE_FAN_IN = 16;
-
     /** Orders the members by join revision and copies them. */
     public MembershipView {
         Map<RouterId, Member> ordered = new LinkedHashMap<>();
@@ -45,20 +41,4 @@
                 .sorted(Comparator.comparing(Member::leaving))
                 .toList();
     }
-
-    /**
-     * Returns the parent of a router in its region's aggregation tree.
-     *
-     * @param router router
-     * @return parent, or empty for the root and for an unknown router
-     */
-    public Optional<Member> treeParent(RouterId router) {
-        Member self = members.get(router);
-        if (self == null) {
-            return Optional.empty();
-        }
-        List<Member> ranked = ranked(self.region());
-        int rank = ranked.indexOf(self);
-        return rank <= 0 ? Optional.empty() : Optional.of(ranked.get((rank - 1) / TREE_FAN_IN));
-    }
 }
