Store configurations packed

Change: the stored form is JSON packed with gzip, with a bound on the unpacked size; what operators submit is stored in the codec's own form.

--- a/decision/src/main/java/org/coltsfootquay/decision/configuration/ConfigurationSubmitter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/configuration/ConfigurationSubmitter.java
@@ -68,7 +68,7 @@
      * Replaces the whole configuration.
      *
      * @param expectedVersion version that the new configuration is based on
-     * @param content stored form of the new configuration
+     * @param content new configuration, in any form that the codec reads; it is stored as the codec writes it
      * @param callback receives the result once, within the submit timeout and one store timeout
      */
     public void submit(long expectedVersion, byte[] content, Consumer<SubmitResult> callback) {
@@ -247,8 +247,9 @@
                 finish(new SubmitResult.Invalid(checked.getLeft()));
                 return;
             }
-            String object = ConfigurationDigest.objectName(content.get());
-            objects.put(object, content.get(), outcome -> {
+            byte[] stored = codec.encode(checked.get());
+            String object = ConfigurationDigest.objectName(stored);
+            objects.put(object, stored, outcome -> {
                 switch (outcome) {
                     case APPLIED -> movePointer(row, pointer.next(object, attempt));
                     default -> again("the object store did not confirm the object");
--- a/router/src/main/java/org/coltsfootquay/router/daemon/JsonConfigurationCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/JsonConfigurationCodec.java
@@ -1,16 +1,18 @@
 package org.coltsfootquay.router.daemon;
 
 import io.vavr.control.Either;
-import java.nio.charset.StandardCharsets;
+import java.io.IOException;
 import java.util.List;
 import org.coltsfootquay.decision.configuration.ConfigurationCodec;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
 import org.coltsfootquay.router.settings.FleetConfigurationReader;
 import org.coltsfootquay.router.settings.FleetConfigurationWriter;
+import org.coltsfootquay.router.settings.PackedTextUtils;
 import org.coltsfootquay.settings.SettingsException;
 import org.coltsfootquay.settings.SettingsProblem;
+import org.coltsfootquay.settings.SettingsReader;
 
-/** Stored form of configurations: JSON, with comments allowed in what operators submit. */
+/** Stored form of configurations: JSON packed with gzip. What operators submit may be plain JSON with comments. */
 public final class JsonConfigurationCodec implements ConfigurationCodec {
 
     /** Creates a codec. */
@@ -21,9 +23,11 @@
     @Override
     public Either<List<String>, FleetConfiguration> decode(long version, byte[] content) {
         try {
-            FleetConfiguration read =
-                    FleetConfigurationReader.read("configuration", new String(content, StandardCharsets.UTF_8));
-            return Either.right(withVersion(read, version));
+            String text = PackedTextUtils.unpack(content, SettingsReader.MAX_BYTES);
+            return Either.right(withVersion(FleetConfigurationReader.read("configuration", text), version));
+        } catch (IOException e) {
+            return Either.left(
+                    List.of("$: found damaged content (" + e.getMessage() + "); submit the configuration again"));
         } catch (SettingsException e) {
             return Either.left(
                     e.problems().stream().map(SettingsProblem::toString).toList());
@@ -32,7 +36,7 @@
 
     @Override
     public byte[] encode(FleetConfiguration configuration) {
-        return FleetConfigurationWriter.write(withVersion(configuration, 0)).getBytes(StandardCharsets.UTF_8);
+        return PackedTextUtils.pack(FleetConfigurationWriter.write(withVersion(configuration, 0)));
     }
 
     private static FleetConfiguration withVersion(FleetConfiguration configuration, long version) {
