--- a/cli/src/main/java/org/coltsfootquay/cli/CommandUtils.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/CommandUtils.java
@@ -7,8 +7,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 import org.apache.commons.cli.CommandLine;
 import org.coltsfootquay.decision.dispatch.PolicyName;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsObject;
+import org.coltsfootquay.settings.SettingsReader;
 
 /** Checks of options and arguments. */
 public final class CommandUtils {
@@ -115,4 +119,21 @@
             throw new CommandException("--report cannot be written (" + e + "); pass a writable file", e);
         }
     }
+
+    /**
+     * Reads the settings file named by the option {@code --settings}.
+     *
+     * @param line parsed command line
+     * @param reader function from the root object of the file to the settings
+     * @param <T> type of the settings
+     * @return settings
+     * @throws UsageException if the option is missing or the file has mistakes; lists all of them
+     */
+    public static <T> T settings(CommandLine line, Function<SettingsObject, T> reader) throws UsageException {
+        try {
+            return SettingsReader.readFile(Path.of(option(line, "settings")), reader);
+        } catch (SettingsException e) {
+            throw new UsageException(e.getMessage());
+        }
+    }
 }
--- a/cli/src/main/java/org/coltsfootquay/cli/RouterCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/RouterCommand.java
@@ -1,6 +1,5 @@
 package org.coltsfootquay.cli;
 
-import java.nio.file.Path;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
@@ -10,8 +9,6 @@
 import org.coltsfootquay.router.daemon.RouterDaemon;
 import org.coltsfootquay.router.daemon.RouterOptions;
 import org.coltsfootquay.router.settings.RouterSettings;
-import org.coltsfootquay.settings.SettingsException;
-import org.coltsfootquay.settings.SettingsReader;
 
 /** Runs one router until SIGTERM or SIGINT, which begin a planned stop. */
 public final class RouterCommand implements Command {
@@ -38,13 +35,7 @@
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException, CommandException, InterruptedException {
-        Path file = Path.of(CommandUtils.option(line, "settings"));
-        RouterSettings settings;
-        try {
-            settings = SettingsReader.readFile(file, RouterSettings::read);
-        } catch (SettingsException e) {
-            throw new UsageException(e.getMessage());
-        }
+        RouterSettings settings = CommandUtils.settings(line, RouterSettings::read);
         LogUtils.writeTo(console.out(), Level.INFO);
         RouterDaemon router = new RouterDaemon(
                 settings,
--- a/cli/src/main/java/org/coltsfootquay/cli/StandInCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/StandInCommand.java
@@ -1,13 +1,10 @@
 package org.coltsfootquay.cli;
 
-import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.coltsfootquay.settings.SettingsException;
 import org.coltsfootquay.settings.SettingsObject;
-import org.coltsfootquay.settings.SettingsReader;
 import org.coltsfootquay.standin.application.ApplicationSettings;
 import org.coltsfootquay.standin.application.ApplicationStandIn;
 import org.coltsfootquay.standin.engine.EngineSettings;
@@ -58,13 +55,7 @@
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException, CommandException, InterruptedException {
-        Path file = Path.of(CommandUtils.option(line, "settings"));
-        Plan plan;
-        try {
-            plan = SettingsReader.readFile(file, StandInCommand::read);
-        } catch (SettingsException e) {
-            throw new UsageException(e.getMessage());
-        }
+        Plan plan = CommandUtils.settings(line, StandInCommand::read);
         Running running;
         try {
             running = plan.starter.start(plan.port);
