Add the load command

Cause: a fleet of separate processes could not be put under load. Change: load sends streamed calls and bookings with duplicates to running routers and checks each answer against the stand-ins.

--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.cli.capacity.CapacityCommand;
+import org.coltsfootquay.cli.load.LoadCommand;
 import org.coltsfootquay.cli.measure.MeasureCommand;
 import org.coltsfootquay.cli.operator.AddressesCommand;
 import org.coltsfootquay.cli.operator.ConfigCommand;
@@ -31,6 +32,7 @@
                 new QuickstartCommand(),
                 new RouterCommand(),
                 new StandInCommand(),
+                new LoadCommand(),
                 new MeasureCommand(),
                 new CapacityCommand(),
                 new CheckConfigCommand(),
--- a/cli/src/main/java/org/coltsfootquay/cli/load/Caller.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/load/Caller.java
@@ -54,13 +54,14 @@
         StreamCollector collector = new StreamCollector(
                 position -> recorder.served(workspace, UNITS_PER_OUTPUT_TOKEN + (position == 0 ? inputUnits : 0)));
         recorder.waiting(workspace, 1);
-        HttpRequest request = request(address, "/v1/chat/completions", call)
+        HttpRequest.Builder request = request(address, "/v1/chat/completions", call)
                 .header("Content-Type", "application/json")
-                .header("X-Class-Of-Work", call.profile().classOfWork())
-                .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
-                .build();
+                .POST(HttpRequest.BodyPublishers.ofString(body.toString()));
+        if (!call.profile().classOfWork().isEmpty()) {
+            request.header("X-Class-Of-Work", call.profile().classOfWork());
+        }
         return http.sendAsync(
-                        request,
+                        request.build(),
                         info -> info.statusCode() == 200
                                 ? HttpResponse.BodySubscribers.fromLineSubscriber(
                                         collector, Caller::asComplete, StandardCharsets.UTF_8, null)
