Avoid a lost router for batches of records

Cause: records of a key shard go to one router; when it died, bookings of its shards were refused with store_unreachable until the membership dropped it after 9 to 10 s. Change: a router whose connection was lost batches nothing for 10 s; the next one in rank takes the shard, which is safe since each row write is conditional. Conclusion: a router's death refuses no booking of another router.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RecordService.java
@@ -37,6 +37,12 @@
     /** Longer than the second after which a flow repeats a write by itself; only bounds the memory. */
     private static final long FORGET_NANOS = Duration.ofSeconds(10).toNanos();
 
+    /**
+     * Time for which a lost router batches no records. Membership lists a dead router until its lease of 9 s has
+     * expired; until then half of the bookings of a fleet of two were refused.
+     */
+    private static final long AVOID_NANOS = Duration.ofSeconds(10).toNanos();
+
     private final ControlThread control;
     private final TableStore store;
     private final RouterId self;
@@ -44,6 +50,7 @@
     private final Supplier<Collection<RouterId>> routers;
     private final RecordBatcher batcher = new RecordBatcher();
     private final Map<Long, Waiting> waiting = new HashMap<>();
+    private final Map<RouterId, Long> lostNanos = new HashMap<>();
     private boolean scheduled;
 
     /** Starts at random: a result for a write of this router before its restart must not be taken for a newer one. */
@@ -77,7 +84,7 @@
     public void write(RowWrite write, Consumer<WriteResult> callback) {
         control.execute(() -> {
             long correlation = ++nextCorrelation;
-            RouterId batching = RecordShards.batchingRouter(RecordShards.shardOf(write.key()), routers.get())
+            RouterId batching = RecordShards.batchingRouter(RecordShards.shardOf(write.key()), reachableRouters())
                     .orElse(self);
             Optional<RecordOperation> operation =
                     batching.equals(self) ? Optional.empty() : RecordFrames.operation(correlation, write);
@@ -121,8 +128,18 @@
         }
     }
 
+    /** Any router may batch for a shard, because each write is conditional. */
+    private List<RouterId> reachableRouters() {
+        long now = now();
+        lostNanos.values().removeIf(since -> now - since > AVOID_NANOS);
+        return routers.get().stream()
+                .filter(router -> !lostNanos.containsKey(router))
+                .toList();
+    }
+
     /** The outcome of writes at a lost batching router is unknown; called on the control thread. */
     void lost(RouterId batching) {
+        lostNanos.put(batching, now());
         List<Long> lost = waiting.entrySet().stream()
                 .filter(entry -> entry.getValue().batching().equals(batching))
                 .map(Map.Entry::getKey)
--- a/router/src/test/java/org/coltsfootquay/router/daemon/RouterFaultTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/RouterFaultTest.java
@@ -115,6 +115,23 @@
         }
     }
 
+    /** Failure guarded against: bookings are refused until the membership drops a dead router that batches records. */
+    @Test
+    void bookingsGoOnWhileADeadRouterIsStillAMember() throws Exception {
+        try (TestFleet fleet = new TestFleet(2, 2)) {
+            RouterDaemon owner = owner(fleet);
+            RouterDaemon other = fleet.routers.get(0) == owner ? fleet.routers.get(1) : fleet.routers.get(0);
+            other.kill();
+            for (int i = 0; i < 16; i++) {
+                HttpResponse<String> answer = fleet.send(fleet.request(owner, "/bookings/post-9", TestFleet.KEY)
+                        .header("Idempotency-Key", "after-a-crash-" + i)
+                        .POST(HttpRequest.BodyPublishers.noBody()));
+                assertEquals(200, answer.statusCode(), answer.body());
+            }
+            assertEquals(0, fleet.application.counters().value("repeatedExecutions"));
+        }
+    }
+
     private static RouterDaemon owner(TestFleet fleet) {
         return fleet.routers.stream()
                 .filter(router -> router.blackboard()
