--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerRouter.java
@@ -0,0 +1,26 @@
+package org.coltsfootquay.decision.peer;
+
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+
+/**
+ * Address card of a router.
+ *
+ * @param id identifier
+ * @param zone availability zone
+ * @param host IP address
+ * @param peerPort port for other routers, UDP and TCP
+ * @param callerAddress IP address and port for callers
+ */
+public record PeerRouter(RouterId id, ZoneName zone, String host, int peerPort, String callerAddress) {
+
+    /** Checks the values. */
+    public PeerRouter {
+        ArgumentUtils.requireValue(id, "id");
+        ArgumentUtils.requireValue(zone, "zone");
+        ArgumentUtils.requireText(host, "host");
+        ArgumentUtils.requirePositive(peerPort, "peerPort");
+        ArgumentUtils.requireText(callerAddress, "callerAddress");
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -0,0 +1,133 @@
+package org.coltsfootquay.decision.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+
+/**
+ * Routers that are registered and routers that were heard lately; not thread-safe.
+ *
+ * <p>Callers are sent only to routers that were heard a moment ago, since registrations stay after a router is gone.
+ * Limits that all routers share count every registered router, so that they also hold beside a partition.
+ */
+public final class PeerTable {
+
+    /** A peer that was not heard for this long gets no callers: four beacons of 200 ms lost in a row. */
+    public static final Duration SILENCE = Duration.ofMillis(900);
+
+    private final PeerRouter self;
+    private final Map<RouterId, PeerRouter> registered = new TreeMap<>();
+    private final Map<RouterId, Heard> heard = new HashMap<>();
+
+    /**
+     * Creates a table.
+     *
+     * @param self this router
+     */
+    public PeerTable(PeerRouter self) {
+        this.self = ArgumentUtils.requireValue(self, "self");
+    }
+
+    /**
+     * Replaces the registrations of the store.
+     *
+     * @param routers registered routers
+     */
+    public void register(Collection<PeerRouter> routers) {
+        registered.clear();
+        routers.forEach(router -> registered.put(router.id(), router));
+        registered.remove(self.id());
+    }
+
+    /**
+     * Notes a beacon of a peer.
+     *
+     * @param peer peer
+     * @param ready true if it takes callers
+     * @param nowNanos current time
+     */
+    public void heard(PeerRouter peer, boolean ready, long nowNanos) {
+        if (!peer.id().equals(self.id())) {
+            heard.put(peer.id(), new Heard(peer, ready, nowNanos));
+        }
+    }
+
+    /**
+     * Returns the peers that beacons are sent to.
+     *
+     * @return registered and heard peers
+     */
+    public List<PeerRouter> beaconTargets() {
+        Map<RouterId, PeerRouter> targets = new TreeMap<>(registered);
+        heard.values().forEach(entry -> targets.put(entry.peer.id(), entry.peer));
+        return List.copyOf(targets.values());
+    }
+
+    /**
+     * Returns all routers that may be sending, reachable or not.
+     *
+     * @return identifiers, this router included, in order
+     */
+    public List<RouterId> members() {
+        Set<RouterId> members = new TreeSet<>(registered.keySet());
+        members.addAll(heard.keySet());
+        members.add(self.id());
+        return List.copyOf(members);
+    }
+
+    /**
+     * Returns the peers that fell silent, and forgets them unless they are registered.
+     *
+     * @param nowNanos current time
+     * @return identifiers
+     */
+    public List<RouterId> dropSilent(long nowNanos) {
+        List<RouterId> silent = new ArrayList<>();
+        heard.values().removeIf(entry -> {
+            boolean gone = nowNanos - entry.atNanos > SILENCE.toNanos();
+            if (gone) {
+                silent.add(entry.peer.id());
+            }
+            return gone;
+        });
+        return silent;
+    }
+
+    /**
+     * Returns the addresses that callers of a zone should use.
+     *
+     * <p>Routers of the caller's zone come alone if there are at least two, since traffic between zones costs more.
+     *
+     * @param callerZone zone of the caller, or null if unknown
+     * @param selfReady true if this router takes callers
+     * @param nowNanos current time
+     * @param limit largest number of addresses
+     * @return addresses; empty if no router takes callers
+     */
+    public List<String> addressesFor(ZoneName callerZone, boolean selfReady, long nowNanos, int limit) {
+        List<PeerRouter> ready = new ArrayList<>();
+        if (selfReady) {
+            ready.add(self);
+        }
+        for (Heard entry : heard.values()) {
+            if (entry.ready && nowNanos - entry.atNanos <= SILENCE.toNanos()) {
+                ready.add(entry.peer);
+            }
+        }
+        List<PeerRouter> near =
+                ready.stream().filter(peer -> peer.zone().equals(callerZone)).toList();
+        return (near.size() >= 2 ? near : ready)
+                .stream().map(PeerRouter::callerAddress).sorted().limit(limit).toList();
+    }
+
+    private record Heard(PeerRouter peer, boolean ready, long atNanos) {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/LoadBoard.java
@@ -0,0 +1,94 @@
+package org.coltsfootquay.decision.selection;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+
+/**
+ * Load of backend servers: what this router has sent, and what its peers say they have sent.
+ *
+ * <p>Not thread-safe. A peer's report replaces its previous one; it is dropped when the peer falls silent, since its
+ * requests then end or break.
+ */
+public final class LoadBoard {
+
+    private final Map<ServerName, ServerLoad> own = new HashMap<>();
+    private final Map<RouterId, Map<ServerName, ServerLoad>> peers = new HashMap<>();
+
+    /** Creates an empty board. */
+    public LoadBoard() {
+        // Loads appear with the first request or report.
+    }
+
+    /**
+     * Adds work that this router starts, or takes off work that has ended.
+     *
+     * @param server server
+     * @param change change, with negative values for work that ended
+     */
+    public void change(ServerName server, ServerLoad change) {
+        ServerLoad sum = own.getOrDefault(server, ServerLoad.NONE).plus(change);
+        if (sum.equals(ServerLoad.NONE)) {
+            own.remove(server);
+        } else {
+            own.put(server, sum);
+        }
+    }
+
+    /**
+     * Replaces what a peer has sent.
+     *
+     * @param peer peer
+     * @param loads loads by server
+     */
+    public void report(RouterId peer, Map<ServerName, ServerLoad> loads) {
+        peers.put(peer, Map.copyOf(loads));
+    }
+
+    /**
+     * Drops the report of a peer.
+     *
+     * @param peer peer
+     */
+    public void forget(RouterId peer) {
+        peers.remove(peer);
+    }
+
+    /**
+     * Returns what this router has sent.
+     *
+     * @return loads by server, ordered by name
+     */
+    public Map<ServerName, ServerLoad> own() {
+        return new TreeMap<>(own);
+    }
+
+    /**
+     * Returns what this router has sent to a server.
+     *
+     * @param server server
+     * @return load
+     */
+    public ServerLoad own(ServerName server) {
+        return own.getOrDefault(server, ServerLoad.NONE);
+    }
+
+    /**
+     * Returns the load from all routers.
+     *
+     * @param server server
+     * @return load
+     */
+    public ServerLoad total(ServerName server) {
+        ServerLoad sum = own(server);
+        for (Map<ServerName, ServerLoad> loads : peers.values()) {
+            ServerLoad load = loads.get(server);
+            if (load != null) {
+                sum = sum.plus(load);
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
@@ -0,0 +1,75 @@
+package org.coltsfootquay.decision.selection;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.coltsfootquay.decision.common.ServerName;
+
+/**
+ * Shared prompt parts that this router has recently had servers read; not thread-safe.
+ *
+ * <p>Servers drop the least recently used parts, so the view forgets in the same order once its share of a server's
+ * memory is full.
+ */
+public final class PromptCacheView {
+
+    /** Part of a server's memory that cached parts may fill; running requests take the rest. */
+    private static final double CACHE_SHARE = 0.6;
+
+    private final Map<ServerName, Cache> caches = new HashMap<>();
+
+    /** Creates an empty view. */
+    public PromptCacheView() {
+        // Parts appear with the first request.
+    }
+
+    /**
+     * Tells whether a server probably keeps the shared parts of a prompt.
+     *
+     * @param server server
+     * @param sharedKey key of the shared parts
+     * @return true if this router had the server read them and they are not forgotten since
+     */
+    public boolean keeps(ServerName server, long sharedKey) {
+        Cache cache = caches.get(server);
+        return cache != null && cache.parts.containsKey(sharedKey);
+    }
+
+    /**
+     * Notes that a server reads the shared parts of a prompt.
+     *
+     * @param server server
+     * @param prompt prompt
+     * @param memoryTokens memory of the server, tokens
+     */
+    public void read(ServerName server, Prompt prompt, long memoryTokens) {
+        caches.computeIfAbsent(server, name -> new Cache())
+                .put(prompt.sharedKey(), prompt.sharedTokens(), (long) (memoryTokens * CACHE_SHARE));
+    }
+
+    /**
+     * Forgets what a server kept.
+     *
+     * @param server server that has started again or is gone
+     */
+    public void forget(ServerName server) {
+        caches.remove(server);
+    }
+
+    private static final class Cache {
+
+        private final Map<Long, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
+        private long tokens;
+
+        private void put(long key, int size, long limit) {
+            Integer before = parts.put(key, size);
+            tokens += size - (before == null ? 0 : before);
+            Iterator<Map.Entry<Long, Integer>> eldest = parts.entrySet().iterator();
+            while (tokens > limit && parts.size() > 1) {
+                tokens -= eldest.next().getValue();
+                eldest.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -0,0 +1,118 @@
+package org.coltsfootquay.decision.selection;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.HashUtils;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ZoneName;
+
+/**
+ * Picks the model engine with the shortest expected time to the first token.
+ *
+ * <p>Answers loads in which most of a prompt is shared with other requests: all routers prefer the same home for a
+ * shared part without a message, by rendezvous hashing, and leave it when its queue of unread tokens takes longer than
+ * reading the shared part elsewhere.
+ */
+public final class PromptLocalitySelector implements ServerSelector {
+
+    /** Prompt tokens that an engine reads in a millisecond; source: the engines' data sheet. */
+    private static final double READ_TOKENS_PER_MILLI = 54.6;
+
+    /** Time from the end of reading to the first token, milliseconds; source: the engines' data sheet. */
+    private static final double FIRST_TOKEN_MILLIS = 61;
+
+    /** Time that each running request adds to the wait for the first token, milliseconds; measured. */
+    private static final double RUNNING_REQUEST_MILLIS = 1.5;
+
+    /** Cost of an engine in another zone, milliseconds: the price of its traffic weighed against the wait. */
+    private static final double OTHER_ZONE_MILLIS = 12;
+
+    /** Cost of an engine that fails all its requests, milliseconds: more than any queue. */
+    private static final double FAILURE_MILLIS = 8000;
+
+    /** Part of the memory above which running requests are likely to be preempted. */
+    private static final double FULL_MEMORY = 0.85;
+
+    /** Cost of an engine whose slots or memory are full, milliseconds: about the time until a request ends. */
+    private static final double FULL_MILLIS = 1500;
+
+    private final ZoneName zone;
+    private final LoadBoard loads;
+    private final PromptCacheView caches;
+    private final ServerHealth health;
+    private final long memoryTokens;
+
+    /**
+     * Creates a selector.
+     *
+     * @param zone zone of this router
+     * @param loads loads of servers
+     * @param caches shared parts that servers keep
+     * @param health health of servers
+     * @param memoryTokens memory of one engine, tokens; 0 if unknown
+     */
+    public PromptLocalitySelector(
+            ZoneName zone, LoadBoard loads, PromptCacheView caches, ServerHealth health, long memoryTokens) {
+        this.zone = ArgumentUtils.requireValue(zone, "zone");
+        this.loads = ArgumentUtils.requireValue(loads, "loads");
+        this.caches = ArgumentUtils.requireValue(caches, "caches");
+        this.health = ArgumentUtils.requireValue(health, "health");
+        this.memoryTokens = memoryTokens;
+    }
+
+    @Override
+    public Optional<Candidate> select(List<BackendEntry> candidates, Prompt prompt) {
+        long key = prompt.sharedKey();
+        ServerName home = home(candidates, key);
+        BackendEntry best = null;
+        double bestCost = Double.MAX_VALUE;
+        double bestMillis = 0;
+        long bestTokens = 0;
+        for (BackendEntry entry : candidates) {
+            boolean kept = entry.server().equals(home) || caches.keeps(entry.server(), key);
+            long newTokens = (long) prompt.tokens() - (kept ? prompt.sharedTokens() : 0);
+            double millis = expectedMillis(entry, newTokens, prompt);
+            double cost = millis
+                    + (entry.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS)
+                    + FAILURE_MILLIS * health.failureRate(entry.server());
+            if (cost < bestCost) {
+                best = entry;
+                bestCost = cost;
+                bestMillis = millis;
+                bestTokens = newTokens;
+            }
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        return Optional.of(new Candidate(best, bestTokens, Duration.ofMillis((long) bestMillis)));
+    }
+
+    private double expectedMillis(BackendEntry entry, long newTokens, Prompt prompt) {
+        ServerLoad load = loads.total(entry.server());
+        double millis = FIRST_TOKEN_MILLIS
+                + (load.unreadTokens() + newTokens) / READ_TOKENS_PER_MILLI
+                + load.requests() * RUNNING_REQUEST_MILLIS;
+        boolean slotsFull = load.requests() >= entry.slots();
+        boolean memoryFull = memoryTokens > 0 && load.heldTokens() + prompt.tokens() > memoryTokens * FULL_MEMORY;
+        return slotsFull || memoryFull ? millis + FULL_MILLIS : millis;
+    }
+
+    /** Returns the engine that all routers prefer for a shared part. */
+    private static ServerName home(List<BackendEntry> candidates, long key) {
+        ServerName home = null;
+        long highest = Long.MIN_VALUE;
+        String text = Long.toHexString(key);
+        for (BackendEntry entry : candidates) {
+            long weight = HashUtils.hash(text, entry.server().value());
+            if (home == null || weight > highest) {
+                home = entry.server();
+                highest = weight;
+            }
+        }
+        return home;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
@@ -0,0 +1,507 @@
+package org.coltsfootquay.router.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.HashUtils;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.route.Route;
+import org.coltsfootquay.decision.route.RouteKind;
+import org.coltsfootquay.decision.route.ServicePolicy;
+import org.coltsfootquay.decision.selection.Candidate;
+import org.coltsfootquay.decision.selection.Prompt;
+import org.coltsfootquay.decision.selection.ServerLoad;
+import org.coltsfootquay.decision.timer.TimerService.Subscription;
+import org.coltsfootquay.router.log.EventLog;
+
+/**
+ * One request of a caller from its arrival to its final answer; runs on the event loop.
+ *
+ * <p>A request whose bytes may have reached a server is sent again only if the route allows it or the server said that
+ * it did not run the request. A refusal with status 429 or 503 is sent only while neither can have happened.
+ */
+final class ForwardedRequest implements ServerAnswerListener {
+
+    private static final EventLog LOG = EventLog.of(ForwardedRequest.class);
+
+    /** Time before the end of a request's time at which it gets its final answer: transit to the caller. */
+    private static final Duration FINAL_MARGIN = Duration.ofMillis(40);
+
+    /** Shortest silence after which an idempotent request is sent elsewhere: several usual response times. */
+    private static final Duration SHORTEST_TRY = Duration.ofMillis(150);
+
+    /** Silence beyond the expected time after which a resumable stream is sent elsewhere. */
+    private static final Duration STREAM_PATIENCE = Duration.ofMillis(1500);
+
+    /** Part of the remaining time that the expected wait may take before a request is refused at once. */
+    private static final double REFUSE_ABOVE = 0.8;
+
+    /** Attempts to reach a server before a request is refused. */
+    private static final int MAX_CONNECT_FAILURES = 4;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final ForwardingContext context;
+    private final CallerExchange caller;
+    private final HttpMethod method;
+    private final String uri;
+    private final HttpHeaders headers;
+    private final byte[] body;
+    private final RequestFacts facts;
+    private final Route route;
+    private final Optional<WorkspaceId> workspace;
+    private final ServicePolicy service;
+    private final long arrivedNanos;
+    private final long expiresNanos;
+    private final Set<ServerName> tried = new HashSet<>();
+    private Subscription expiry;
+    private Subscription silence;
+    private Candidate candidate;
+    private ServerLoad charged = ServerLoad.NONE;
+    private ServerConnection connection;
+    private HttpResponse answerHead;
+    private AnswerFacts answerFacts;
+    private ByteArrayOutputStream answerBody;
+    private EventSplitter events;
+    private int connectFailures;
+    private int sends;
+    private boolean mayHaveRun;
+    private boolean streaming;
+    private boolean done;
+    private long firstEventNanos;
+
+    ForwardedRequest(
+            ForwardingContext context,
+            CallerExchange caller,
+            CallerRequestBytes request,
+            RequestFacts facts,
+            Route route,
+            Optional<WorkspaceId> workspace,
+            ServicePolicy service,
+            long arrivedNanos) {
+        this.context = context;
+        this.caller = caller;
+        this.method = request.method();
+        this.uri = request.uri();
+        this.headers = request.headers();
+        this.body = request.body();
+        this.facts = facts;
+        this.route = route;
+        this.workspace = workspace;
+        this.service = service;
+        this.arrivedNanos = arrivedNanos;
+        Duration limit = facts.deadline()
+                .filter(deadline -> deadline.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        this.expiresNanos = arrivedNanos + limit.toNanos();
+    }
+
+    /** Begins to work on the request. */
+    void start() {
+        context.retries().requested(service.name(), now());
+        long left = Math.max(0, expiresNanos - now() - FINAL_MARGIN.toNanos());
+        expiry = context.timers().after("request expiry", Duration.ofNanos(left), this::expire);
+        trySend();
+    }
+
+    /** The caller has left: the server is told by the end of its connection. */
+    void callerLeft() {
+        if (!done) {
+            finish("caller_left", 0);
+        }
+    }
+
+    /** Resumes reading from the server when the caller has caught up. */
+    void callerReady() {
+        if (connection != null) {
+            connection.pauseReading(false);
+        }
+    }
+
+    private void trySend() {
+        if (done) {
+            return;
+        }
+        Optional<Candidate> choice = context.chooser()
+                .choose(
+                        service,
+                        facts.prompt(),
+                        tried,
+                        context.selector(service),
+                        context.peers().members(),
+                        now());
+        if (choice.isEmpty()) {
+            giveUp("no_server", RetryAfter.NO_SERVER);
+            return;
+        }
+        candidate = choice.get();
+        long left = expiresNanos - now();
+        if (!streaming && !mayHaveRun && candidate.expected().toNanos() > left * REFUSE_ABOVE) {
+            giveUp("too_late", RetryAfter.OVERLOAD);
+            return;
+        }
+        charge();
+        BackendEntry target = candidate.entry();
+        context.connections().acquire(target, this::send, reason -> notConnected(target, reason));
+    }
+
+    private void notConnected(BackendEntry target, String reason) {
+        if (done) {
+            return;
+        }
+        discharge();
+        context.health().unreachable(target.server(), now());
+        context.metrics().count("coltsfootquay_server_connect_failures_total");
+        LOG.warn("server_unreachable", "request", facts.requestId(), "server", target.server(), "reason", reason);
+        connectFailures++;
+        if (connectFailures >= MAX_CONNECT_FAILURES) {
+            giveUp("unreachable", RetryAfter.NO_SERVER);
+        } else {
+            trySend();
+        }
+    }
+
+    private void send(ServerConnection ready) {
+        if (done) {
+            context.connections().released(ready);
+            return;
+        }
+        long now = now();
+        BackendEntry target = candidate.entry();
+        if (!context.chooser().claim(target, service, context.peers().members(), now)) {
+            // The server began to leave, or its cold allowance was used, while the connection was made.
+            context.connections().released(ready);
+            discharge();
+            connectFailures++;
+            if (connectFailures >= MAX_CONNECT_FAILURES) {
+                giveUp("no_server", RetryAfter.NO_SERVER);
+            } else {
+                trySend();
+            }
+            return;
+        }
+        connection = ready;
+        sends++;
+        mayHaveRun = true;
+        tried.add(target.server());
+        answerHead = null;
+        Duration remaining = Duration.ofNanos(Math.max(1, expiresNanos - now));
+        Optional<String> resumeAfter = events == null ? Optional.empty() : events.lastId();
+        SendFacts sendFacts = new SendFacts(target, remaining, workspace, resumeAfter);
+        HttpHeaders forServer = context.dialect().forServer(headers, sendFacts);
+        if (route.promptLocality()) {
+            context.caches().read(target.server(), facts.prompt(), service.cacheTokens());
+        }
+        LOG.info(
+                "request_sent",
+                "request",
+                facts.requestId(),
+                "server",
+                target.server(),
+                "send",
+                sends,
+                "expectedMs",
+                candidate.expected().toMillis(),
+                "newTokens",
+                candidate.newTokens(),
+                "load",
+                context.loads().total(target.server()).requests(),
+                "configuration",
+                context.configuration().map(c -> c.version()).orElse(0L));
+        watchSilence();
+        ready.send(method, uri, forServer, body, facts.requestId(), this);
+    }
+
+    @Override
+    public void answerBegins(HttpResponse response, AnswerFacts read) {
+        answerHead = response;
+        answerFacts = read;
+        answerBody = new ByteArrayOutputStream();
+        boolean good = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (good && (!read.signed() || read.encoded())) {
+            connection.abandon();
+            answerBreaks("unsigned_answer");
+            return;
+        }
+        if (good && route.kind() == RouteKind.STREAM) {
+            cancelSilence();
+            if (!streaming) {
+                streaming = true;
+                events = new EventSplitter();
+                caller.begin(response.status(), HeaderUtils.endToEnd(response.headers()));
+            }
+        }
+    }
+
+    @Override
+    public void answerBytes(ByteBuf bytes) {
+        if (!streaming || answerHead.status().codeClass() != HttpStatusClass.SUCCESS) {
+            byte[] copy = new byte[bytes.readableBytes()];
+            bytes.readBytes(copy);
+            answerBody.writeBytes(copy);
+            return;
+        }
+        byte[] whole = events.add(bytes);
+        if (whole.length == 0) {
+            return;
+        }
+        if (firstEventNanos == 0) {
+            firstEventNanos = now();
+            readingDone();
+            context.health().answered(candidate.entry().server(), true, firstEventNanos);
+            context.metrics()
+                    .latency(
+                            "coltsfootquay_first_event_seconds{service=\"" + service.name() + "\"}",
+                            firstEventNanos - arrivedNanos);
+        }
+        if (!caller.write(whole)) {
+            connection.pauseReading(true);
+        }
+    }
+
+    @Override
+    public void answerEnds() {
+        ServerName server = candidate.entry().server();
+        connection = null;
+        cancelSilence();
+        HttpResponseStatus status = answerHead.status();
+        if (streaming && status.codeClass() == HttpStatusClass.SUCCESS) {
+            byte[] rest = events.rest();
+            if (rest.length > 0) {
+                caller.write(rest);
+            }
+            caller.end();
+            finish("served", status.code());
+            return;
+        }
+        boolean notRun = answerFacts.notExecuted() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        if (notRun) {
+            notExecuted(server, status);
+            return;
+        }
+        boolean failed = status.codeClass() == HttpStatusClass.SERVER_ERROR;
+        context.health().answered(server, !failed, now());
+        if (failed && mayRepeat()) {
+            repeat("server_error");
+        } else if (streaming) {
+            breakStream("resume_refused");
+        } else {
+            caller.answer(status, HeaderUtils.endToEnd(answerHead.headers()), answerBody.toByteArray());
+            finish("served", status.code());
+        }
+    }
+
+    @Override
+    public void answerBreaks(String cause) {
+        ServerName server = candidate.entry().server();
+        connection = null;
+        cancelSilence();
+        context.health().answered(server, false, now());
+        if ("reset".equals(cause) || "closed".equals(cause)) {
+            context.health().broken(server, now());
+        }
+        LOG.warn(
+                "answer_broken",
+                "request",
+                facts.requestId(),
+                "server",
+                server,
+                "cause",
+                cause,
+                "events",
+                streaming ? events.lastId().orElse("none") : "none");
+        if (mayRepeat()) {
+            repeat(cause);
+        } else if (streaming) {
+            breakStream(cause);
+        } else {
+            reply(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), cause);
+        }
+    }
+
+    private void notExecuted(ServerName server, HttpResponseStatus status) {
+        discharge();
+        if (sends == 1) {
+            mayHaveRun = false;
+        }
+        context.metrics().count("coltsfootquay_server_refusals_total");
+        LOG.info("server_refused", "request", facts.requestId(), "server", server, "status", status.code());
+        if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+            // Another server has taken the address; connections to it are of no use.
+            context.connections().dropIdle(server);
+            context.health().unreachable(server, now());
+        }
+        boolean attemptsLeft = sends < route.maxAttempts() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        if (attemptsLeft
+                && context.retries()
+                        .tryTake(service.name(), context.peers().members().size(), now())) {
+            trySend();
+        } else if (streaming) {
+            breakStream("resume_refused");
+        } else {
+            giveUp("server_full", RetryAfter.OVERLOAD);
+        }
+    }
+
+    private boolean mayRepeat() {
+        return route.repeatable()
+                && sends < route.maxAttempts()
+                && expiresNanos - now() > SHORTEST_TRY.toNanos()
+                && (!streaming || events.lastId().isPresent() || firstEventNanos == 0)
+                && context.retries()
+                        .tryTake(service.name(), context.peers().members().size(), now());
+    }
+
+    private void repeat(String cause) {
+        discharge();
+        if (events != null) {
+            events.rest();
+        }
+        context.metrics().count("coltsfootquay_repeats_total");
+        LOG.info("request_repeated", "request", facts.requestId(), "cause", cause, "sends", sends);
+        trySend();
+    }
+
+    private void breakStream(String cause) {
+        caller.abort();
+        finish("stream_broken:" + cause, 0);
+    }
+
+    private void expire() {
+        if (done) {
+            return;
+        }
+        if (streaming) {
+            breakStream("timeout");
+        } else if (mayHaveRun) {
+            reply(HttpResponseStatus.GATEWAY_TIMEOUT, Optional.empty(), "timeout");
+        } else {
+            reply(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(RetryAfter.OVERLOAD), "timeout");
+        }
+    }
+
+    private void giveUp(String reason, Duration retryAfter) {
+        if (streaming) {
+            breakStream(reason);
+        } else if (mayHaveRun) {
+            reply(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), reason);
+        } else {
+            reply(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(retryAfter), reason);
+        }
+    }
+
+    private void reply(HttpResponseStatus status, Optional<Duration> retryAfter, String reason) {
+        HttpHeaders replyHeaders = new DefaultHttpHeaders();
+        retryAfter.ifPresent(after -> RetryAfter.set(replyHeaders, after));
+        caller.answer(status, replyHeaders, RefusalBody.of(reason, !mayHaveRun));
+        finish(reason, status.code());
+    }
+
+    private void finish(String outcome, int status) {
+        done = true;
+        if (expiry != null) {
+            expiry.cancel();
+        }
+        cancelSilence();
+        if (connection != null) {
+            connection.abandon();
+            connection = null;
+        }
+        discharge();
+        context.metrics().count("coltsfootquay_requests_total{outcome=\"" + outcome + "\"}");
+        LOG.info(
+                "request_done",
+                "request",
+                facts.requestId(),
+                "outcome",
+                outcome,
+                "status",
+                status,
+                "route",
+                route.name(),
+                "workspace",
+                workspace.map(WorkspaceId::value).orElse("none"),
+                "sends",
+                sends,
+                "firstMs",
+                firstEventNanos == 0 ? -1 : (long) ((firstEventNanos - arrivedNanos) / NANOS_PER_MILLI),
+                "totalMs",
+                (long) ((now() - arrivedNanos) / NANOS_PER_MILLI));
+    }
+
+    private void watchSilence() {
+        if (!route.repeatable() || sends >= route.maxAttempts()) {
+            return;
+        }
+        Duration patience = route.kind() == RouteKind.STREAM
+                ? candidate.expected().plus(STREAM_PATIENCE)
+                : longer(SHORTEST_TRY, route.target());
+        silence = context.timers().after("server silence", patience, this::silent);
+    }
+
+    private void silent() {
+        silence = null;
+        if (done || connection == null || !mayRepeat()) {
+            return;
+        }
+        ServerName server = candidate.entry().server();
+        LOG.warn("server_silent", "request", facts.requestId(), "server", server);
+        context.health().answered(server, false, now());
+        connection.abandon();
+        connection = null;
+        repeat("silent");
+    }
+
+    private void cancelSilence() {
+        if (silence != null) {
+            silence.cancel();
+            silence = null;
+        }
+    }
+
+    private void charge() {
+        Prompt prompt = facts.prompt();
+        charged = new ServerLoad(1, candidate.newTokens(), (long) prompt.tokens() + prompt.maxOutputTokens());
+        context.loads().change(candidate.entry().server(), charged);
+    }
+
+    private void readingDone() {
+        ServerLoad read = new ServerLoad(0, -charged.unreadTokens(), 0);
+        context.loads().change(candidate.entry().server(), read);
+        charged = charged.plus(read);
+    }
+
+    private void discharge() {
+        if (candidate != null) {
+            context.loads()
+                    .change(
+                            candidate.entry().server(),
+                            new ServerLoad(-charged.requests(), -charged.unreadTokens(), -charged.heldTokens()));
+        }
+        charged = ServerLoad.NONE;
+    }
+
+    private long now() {
+        return context.timers().nowNanos();
+    }
+
+    private static Duration longer(Duration a, Duration b) {
+        return a.compareTo(b) >= 0 ? a : b;
+    }
+
+    /** Returns a hash that is stable for the request, for the choice among the services of a route. */
+    static long hashOf(RequestFacts facts) {
+        return HashUtils.hash(facts.requestId());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -0,0 +1,184 @@
+package org.coltsfootquay.router.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.coltsfootquay.decision.backend.BackendRegistry;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.limit.ColdStartLimiter;
+import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.retry.FleetRetryShare;
+import org.coltsfootquay.decision.route.RoutingConfiguration;
+import org.coltsfootquay.decision.route.ServicePolicy;
+import org.coltsfootquay.decision.selection.LeastLoadedSelector;
+import org.coltsfootquay.decision.selection.LoadBoard;
+import org.coltsfootquay.decision.selection.PromptCacheView;
+import org.coltsfootquay.decision.selection.PromptLocalitySelector;
+import org.coltsfootquay.decision.selection.ServerChooser;
+import org.coltsfootquay.decision.selection.ServerHealth;
+import org.coltsfootquay.decision.selection.ServerSelector;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+
+/** State that all requests of a router share; used on one event loop. */
+public final class ForwardingContext {
+
+    private final ZoneName zone;
+    private final TimerService timers;
+    private final RequestDialect dialect;
+    private final ServerConnections connections;
+    private final PeerTable peers;
+    private final RouterMetrics metrics;
+    private final BackendRegistry registry = new BackendRegistry();
+    private final LoadBoard loads = new LoadBoard();
+    private final PromptCacheView caches = new PromptCacheView();
+    private final ServerHealth health = new ServerHealth();
+    private final FleetRetryShare retries;
+    private final ServerChooser chooser;
+    private final Map<ServiceName, ServerSelector> selectors = new HashMap<>();
+    private RoutingConfiguration configuration;
+
+    /**
+     * Creates the state of a router without a configuration.
+     *
+     * @param self this router
+     * @param zone zone of this router
+     * @param timers timer service of the event loop
+     * @param dialect names of headers
+     * @param connections connections to servers
+     * @param peers other routers
+     * @param bounds bounds that all routers share
+     * @param metrics metrics
+     */
+    public ForwardingContext(
+            RouterId self,
+            ZoneName zone,
+            TimerService timers,
+            RequestDialect dialect,
+            ServerConnections connections,
+            PeerTable peers,
+            SharedBounds bounds,
+            RouterMetrics metrics) {
+        this.zone = zone;
+        this.timers = timers;
+        this.dialect = dialect;
+        this.connections = connections;
+        this.peers = peers;
+        this.metrics = metrics;
+        this.retries = new FleetRetryShare(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindow());
+        this.chooser = new ServerChooser(
+                registry, health, new ColdStartLimiter(self), bounds.coldOvershoot(), bounds.coldSlack());
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return configuration, empty until one is known
+     */
+    public Optional<RoutingConfiguration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param next configuration
+     * @return false if it is not newer than the one in force
+     */
+    public boolean apply(RoutingConfiguration next) {
+        if (configuration != null && next.version() <= configuration.version()) {
+            return false;
+        }
+        configuration = next;
+        selectors.clear();
+        return true;
+    }
+
+    /**
+     * Returns the registered servers.
+     *
+     * @return registry
+     */
+    public BackendRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Returns the loads of servers.
+     *
+     * @return loads
+     */
+    public LoadBoard loads() {
+        return loads;
+    }
+
+    /**
+     * Returns the other routers.
+     *
+     * @return peers
+     */
+    public PeerTable peers() {
+        return peers;
+    }
+
+    /**
+     * Returns the metrics.
+     *
+     * @return metrics
+     */
+    public RouterMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Forgets what was learned about a server that is gone or has started again.
+     *
+     * @param server server
+     */
+    public void forgetServer(ServerName server) {
+        caches.forget(server);
+        health.forget(server);
+        connections.dropIdle(server);
+    }
+
+    PromptCacheView caches() {
+        return caches;
+    }
+
+    ServerHealth health() {
+        return health;
+    }
+
+    FleetRetryShare retries() {
+        return retries;
+    }
+
+    ServerChooser chooser() {
+        return chooser;
+    }
+
+    TimerService timers() {
+        return timers;
+    }
+
+    RequestDialect dialect() {
+        return dialect;
+    }
+
+    ServerConnections connections() {
+        return connections;
+    }
+
+    /** Returns the rule that picks a server of a service. */
+    ServerSelector selector(ServicePolicy service) {
+        return selectors.computeIfAbsent(
+                service.name(),
+                name -> service.cacheTokens() > 0
+                        ? new PromptLocalitySelector(zone, loads, caches, health, service.cacheTokens())
+                        : new LeastLoadedSelector(zone, loads, health, ThreadLocalRandom.current()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
@@ -0,0 +1,87 @@
+package org.coltsfootquay.router.neighbor;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.router.log.EventLog;
+
+/** Sends and receives beacons as datagrams: none is ever waited for, and a lost one is replaced by the next. */
+public final class BeaconChannel {
+
+    private static final EventLog LOG = EventLog.of(BeaconChannel.class);
+
+    private final EventLoop eventLoop;
+    private final Consumer<Beacon> receiver;
+    private Channel channel;
+
+    /**
+     * Creates a channel.
+     *
+     * @param eventLoop event loop
+     * @param receiver gets the beacons of other routers
+     */
+    public BeaconChannel(EventLoop eventLoop, Consumer<Beacon> receiver) {
+        this.eventLoop = eventLoop;
+        this.receiver = receiver;
+    }
+
+    /**
+     * Begins to receive.
+     *
+     * @param host IP address
+     * @param port UDP port
+     * @return completes when the socket is bound
+     */
+    public ChannelFuture listen(String host, int port) {
+        ChannelFuture bound = new Bootstrap()
+                .group(eventLoop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Handler())
+                .bind(host, port);
+        channel = bound.channel();
+        return bound;
+    }
+
+    /**
+     * Sends a beacon.
+     *
+     * @param beacon serialized beacon
+     * @param to receiver
+     */
+    public void send(byte[] beacon, InetSocketAddress to) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(beacon), to))
+                .addListener(result -> {
+                    if (!result.isSuccess()) {
+                        LOG.warn("beacon_not_sent", "to", to, "reason", result.cause());
+                    }
+                });
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                receiver.accept(Beacon.parseFrom(ByteBufUtil.getBytes(packet.content())));
+            } catch (InvalidProtocolBufferException e) {
+                LOG.warn("beacon_unreadable", "from", packet.sender(), "reason", e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.warn("beacon_channel_error", "reason", cause);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopies.java
@@ -0,0 +1,187 @@
+package org.coltsfootquay.router.neighbor;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.protocol.generated.peer.TableCopy;
+import org.coltsfootquay.protocol.generated.peer.TableCopyRequest;
+import org.coltsfootquay.protocol.generated.peer.TableCopyRow;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.state.TableMirror;
+import org.coltsfootquay.router.state.TableRow;
+import org.coltsfootquay.router.state.TableWatcher;
+import org.coltsfootquay.router.state.WatchedTable;
+
+/** Passes copies of tables between routers, one connection for each copy; runs on one event loop. */
+public final class TableCopies {
+
+    private static final EventLog LOG = EventLog.of(TableCopies.class);
+
+    /** Largest copy, bytes: far above the largest configuration that the platform accepts. */
+    private static final int MAX_BYTES = 16 << 20;
+
+    private static final int LENGTH_BYTES = 4;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    /** A copy arrives within milliseconds; a silent peer is given up in time to ask another. */
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(800);
+
+    private final EventLoop eventLoop;
+    private final TableWatcher watcher;
+
+    /**
+     * Creates the exchange.
+     *
+     * @param eventLoop event loop
+     * @param watcher holds the copies of this router
+     */
+    public TableCopies(EventLoop eventLoop, TableWatcher watcher) {
+        this.eventLoop = eventLoop;
+        this.watcher = watcher;
+    }
+
+    /**
+     * Begins to answer other routers.
+     *
+     * @param host IP address
+     * @param port TCP port
+     * @return completes when the socket listens
+     */
+    public ChannelFuture listen(String host, int port) {
+        return new ServerBootstrap()
+                .group(eventLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(initializer(this::answer, () -> {}))
+                .bind(host, port);
+    }
+
+    /**
+     * Asks a peer for its copy of a table and takes it if it is newer.
+     *
+     * @param peer peer
+     * @param table table
+     * @param done runs when the copy was taken or the attempt has failed
+     */
+    public void fetch(PeerRouter peer, WatchedTable table, Runnable done) {
+        byte[] request =
+                TableCopyRequest.newBuilder().setTable(table.number()).build().toByteArray();
+        new Bootstrap()
+                .group(eventLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+                .handler(initializer(this::take, done))
+                .connect(peer.host(), peer.peerPort())
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        ChannelUtils.send(connected.channel(), Unpooled.wrappedBuffer(request));
+                    } else {
+                        LOG.info("table_copy_failed", "peer", peer.id(), "table", table);
+                        done.run();
+                    }
+                });
+    }
+
+    private void answer(ChannelHandlerContext context, byte[] message) throws InvalidProtocolBufferException {
+        Optional<WatchedTable> table =
+                WatchedTable.of(TableCopyRequest.parseFrom(message).getTable());
+        if (table.isEmpty()) {
+            ChannelUtils.close(context.channel());
+            return;
+        }
+        TableMirror mirror = watcher.mirror(table.get());
+        TableCopy.Builder copy = TableCopy.newBuilder()
+                .setTable(table.get().number())
+                .setRevision(mirror.revision())
+                .setChangeRevision(mirror.changeRevision());
+        for (TableRow row : mirror.rows()) {
+            copy.addRows(TableCopyRow.newBuilder()
+                    .setKey(row.key())
+                    .setRevision(row.revision())
+                    .setValue(ByteString.copyFrom(row.value())));
+        }
+        context.writeAndFlush(Unpooled.wrappedBuffer(copy.build().toByteArray()))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void take(ChannelHandlerContext context, byte[] message) throws InvalidProtocolBufferException {
+        TableCopy copy = TableCopy.parseFrom(message);
+        ChannelUtils.close(context.channel());
+        List<TableRow> rows = new ArrayList<>();
+        for (TableCopyRow row : copy.getRowsList()) {
+            rows.add(new TableRow(row.getKey(), row.getValue().toByteArray(), row.getRevision(), false));
+        }
+        WatchedTable.of(copy.getTable())
+                .ifPresent(table -> watcher.takeCopy(table, rows, copy.getRevision(), copy.getChangeRevision()));
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(MessageReader reader, Runnable closed) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new ReadTimeoutHandler(READ_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+                        .addLast(new LengthFieldBasedFrameDecoder(MAX_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new Handler(reader, closed));
+            }
+        };
+    }
+
+    private interface MessageReader {
+
+        void read(ChannelHandlerContext context, byte[] message) throws InvalidProtocolBufferException;
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<ByteBuf> {
+
+        private final MessageReader reader;
+        private final Runnable closed;
+
+        private Handler(MessageReader reader, Runnable closed) {
+            this.reader = reader;
+            this.closed = closed;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf message)
+                throws InvalidProtocolBufferException {
+            reader.read(context, ByteBufUtil.getBytes(message));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            closed.run();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.info("table_copy_failed", "reason", cause);
+            ChannelUtils.close(context.channel());
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -0,0 +1,152 @@
+package org.coltsfootquay.router.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.selection.ServerLoad;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.protocol.generated.peer.BeaconLoad;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.neighbor.BeaconChannel;
+import org.coltsfootquay.router.neighbor.TableCopies;
+import org.coltsfootquay.router.state.TableWatcher;
+import org.coltsfootquay.router.state.WatchedTable;
+
+/** Sends this router's beacons and acts on those of others; runs on the event loop. */
+final class Beacons {
+
+    private static final EventLog LOG = EventLog.of(Beacons.class);
+
+    /** Time between beacons: loads are this old at most, and a dead router is noticed after four. */
+    static final Duration PERIOD = Duration.ofMillis(200);
+
+    /** Time for which the own watch may lag behind a peer before the peer is asked for its copy. */
+    private static final Duration LAG = Duration.ofMillis(250);
+
+    private final PeerRouter self;
+    private final long incarnation;
+    private final List<InetSocketAddress> seeds;
+    private final ForwardingContext forwarding;
+    private final TableWatcher watcher;
+    private final TableCopies copies;
+    private final TimerService timers;
+    private final BooleanSupplier ready;
+    private final Map<RouterId, Life> lives = new HashMap<>();
+    private final Map<WatchedTable, Long> behindSinceNanos = new EnumMap<>(WatchedTable.class);
+    private final Map<WatchedTable, Boolean> fetching = new EnumMap<>(WatchedTable.class);
+    private long sequence;
+
+    Beacons(
+            PeerRouter self,
+            long incarnation,
+            List<String> seeds,
+            ForwardingContext forwarding,
+            TableWatcher watcher,
+            TableCopies copies,
+            TimerService timers,
+            BooleanSupplier ready) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.seeds = seeds.stream()
+                .map(ChannelUtils::parseAddress)
+                .map(address -> new InetSocketAddress(address.getAddress(), self.peerPort()))
+                .filter(address -> !address.getAddress().getHostAddress().equals(self.host()))
+                .toList();
+        this.forwarding = forwarding;
+        this.watcher = watcher;
+        this.copies = copies;
+        this.timers = timers;
+        this.ready = ready;
+    }
+
+    /** Sends a beacon to every known router, and to the seeds while none is known. */
+    void send(BeaconChannel channel) {
+        for (RouterId silent : forwarding.peers().dropSilent(timers.nowNanos())) {
+            LOG.warn("router_lost", "router", silent);
+            forwarding.loads().forget(silent);
+            lives.remove(silent);
+        }
+        Beacon.Builder beacon = PeerRows.card(self)
+                .setIncarnation(incarnation)
+                .setSequence(sequence++)
+                .setReady(ready.getAsBoolean());
+        for (WatchedTable table : WatchedTable.values()) {
+            beacon.addTableRevisions(watcher.mirror(table).changeRevision());
+        }
+        forwarding
+                .loads()
+                .own()
+                .forEach((server, load) -> beacon.addLoads(BeaconLoad.newBuilder()
+                        .setServer(server.value())
+                        .setRequests(load.requests())
+                        .setUnreadTokens(load.unreadTokens())
+                        .setHeldTokens(load.heldTokens())));
+        byte[] bytes = beacon.build().toByteArray();
+        List<PeerRouter> targets = forwarding.peers().beaconTargets();
+        for (PeerRouter target : targets) {
+            channel.send(bytes, new InetSocketAddress(target.host(), target.peerPort()));
+        }
+        if (targets.isEmpty()) {
+            seeds.forEach(seed -> channel.send(bytes, seed));
+        }
+    }
+
+    /** Takes a beacon of another router. */
+    void received(Beacon beacon) {
+        Optional<PeerRouter> card = PeerRows.card(beacon);
+        if (card.isEmpty() || card.get().id().equals(self.id())) {
+            return;
+        }
+        PeerRouter peer = card.get();
+        Life life = lives.get(peer.id());
+        if (life != null && life.incarnation == beacon.getIncarnation() && beacon.getSequence() <= life.sequence) {
+            return;
+        }
+        if (life == null || life.incarnation != beacon.getIncarnation()) {
+            LOG.info("router_heard", "router", peer.id(), "incarnation", Long.toHexString(beacon.getIncarnation()));
+        }
+        lives.put(peer.id(), new Life(beacon.getIncarnation(), beacon.getSequence()));
+        forwarding.peers().heard(peer, beacon.getReady(), timers.nowNanos());
+        Map<ServerName, ServerLoad> loads = new HashMap<>();
+        for (BeaconLoad load : beacon.getLoadsList()) {
+            if (!load.getServer().isEmpty()) {
+                loads.put(
+                        new ServerName(load.getServer()),
+                        new ServerLoad(load.getRequests(), load.getUnreadTokens(), load.getHeldTokens()));
+            }
+        }
+        forwarding.loads().report(peer.id(), loads);
+        for (WatchedTable table : WatchedTable.values()) {
+            if (table.number() < beacon.getTableRevisionsCount()) {
+                compare(peer, table, beacon.getTableRevisions(table.number()));
+            }
+        }
+    }
+
+    private void compare(PeerRouter peer, WatchedTable table, long theirs) {
+        if (theirs <= watcher.mirror(table).revision()) {
+            behindSinceNanos.remove(table);
+            return;
+        }
+        long now = timers.nowNanos();
+        long since = behindSinceNanos.computeIfAbsent(table, name -> now);
+        if (now - since < LAG.toNanos() || fetching.getOrDefault(table, false)) {
+            return;
+        }
+        fetching.put(table, true);
+        copies.fetch(peer, table, () -> fetching.put(table, false));
+    }
+
+    private record Life(long incarnation, long sequence) {}
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -0,0 +1,227 @@
+package org.coltsfootquay.router.node;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.forward.CallerConnections;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.forward.ServerConnections;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+import org.coltsfootquay.router.neighbor.BeaconChannel;
+import org.coltsfootquay.router.neighbor.TableCopies;
+import org.coltsfootquay.router.state.StoreReply;
+import org.coltsfootquay.router.state.TableStore;
+import org.coltsfootquay.router.state.TableWatcher;
+import org.coltsfootquay.router.status.StatusReply;
+import org.coltsfootquay.router.status.StatusServer;
+
+/**
+ * A router process: takes requests of callers, forwards them to backend servers, and stops without breaking any.
+ *
+ * <p>All work runs on one event loop, since a VM has one core.
+ */
+public final class ForwardingNode {
+
+    private static final EventLog LOG = EventLog.of(ForwardingNode.class);
+
+    /** Largest number of addresses in one answer; source: the platform's limit. */
+    private static final int MAX_ADDRESSES = 64;
+
+    /** Some callers keep addresses three times as long as they should; source: the platform's pages. */
+    private static final int KEPT_FACTOR = 3;
+
+    /** Time for the last bytes of answers to leave before the process ends. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+
+    private static final Duration STOP_CHECK = Duration.ofMillis(50);
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    /** Pause between attempts to register in the store. */
+    private static final Duration REGISTER_PAUSE = Duration.ofMillis(700);
+
+    private final NodeSettings settings;
+    private final EventLoopGroup group;
+    private final EventLoop eventLoop;
+    private final TimerService timers;
+    private final PeerRouter self;
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final PeerTable peers;
+    private final ServerConnections servers;
+    private final ForwardingContext forwarding;
+    private final CallerConnections callers;
+    private final TableStore store;
+    private final TableWatcher watcher;
+    private final TableCopies copies;
+    private final Beacons beacons;
+    private final BeaconChannel beaconChannel;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private boolean stopping;
+
+    /**
+     * Puts a router together.
+     *
+     * @param settings settings
+     * @param platform platform that it runs on
+     */
+    public ForwardingNode(NodeSettings settings, NodePlatform platform) {
+        this.settings = settings;
+        this.group = ChannelUtils.eventLoops("router", 1);
+        this.eventLoop = group.next();
+        this.timers = new EventLoopTimers(eventLoop);
+        this.self = new PeerRouter(
+                settings.id(), settings.zone(), settings.host(), settings.peerPort(), settings.callerAddress());
+        this.peers = new PeerTable(self);
+        this.servers = new ServerConnections(eventLoop, platform.dialect(), System::nanoTime);
+        this.forwarding = new ForwardingContext(
+                settings.id(), settings.zone(), timers, platform.dialect(), servers, peers, settings.bounds(), metrics);
+        this.callers = new CallerConnections(eventLoop, forwarding);
+        this.store = platform.store(eventLoop, settings);
+        this.watcher = new TableWatcher(store, timers, new StateApplier(forwarding, platform.decoder(), timers));
+        this.copies = new TableCopies(eventLoop, watcher);
+        this.beacons = new Beacons(
+                self,
+                new SecureRandom().nextLong(),
+                settings.seeds(),
+                forwarding,
+                watcher,
+                copies,
+                timers,
+                this::ready);
+        this.beaconChannel = new BeaconChannel(eventLoop, beacons::received);
+    }
+
+    /**
+     * Starts the router.
+     *
+     * @return completes when all sockets listen, or fails with the address that could not be bound
+     */
+    public CompletableFuture<Void> start() {
+        LOG.info("router_starting", "router", settings.id(), "zone", settings.zone(), "host", settings.host());
+        List<ChannelFuture> bound = new ArrayList<>();
+        InetSocketAddress caller = ChannelUtils.parseAddress(settings.callerAddress());
+        bound.add(callers.listen(caller.getHostString(), caller.getPort()));
+        bound.add(listen(settings.readyAddress(), Map.of("/v1/ready", query -> readiness())));
+        bound.add(listen(settings.directoryAddress(), Map.of("/v1/addresses", this::addresses)));
+        bound.add(listen(settings.metricsAddress(), Map.of("/metrics", query -> metricsPage())));
+        bound.add(beaconChannel.listen(settings.host(), settings.peerPort()));
+        bound.add(copies.listen(settings.host(), settings.peerPort()));
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        eventLoop.execute(() -> {
+            watcher.start();
+            register();
+            timers.every("beacon", Beacons.PERIOD, () -> beacons.send(beaconChannel));
+            timers.every("sweep", SWEEP, this::sweep);
+        });
+        int[] left = {bound.size()};
+        for (ChannelFuture socket : bound) {
+            socket.addListener(result -> {
+                if (!result.isSuccess()) {
+                    started.completeExceptionally(result.cause());
+                } else if (--left[0] == 0) {
+                    LOG.info("router_started", "router", settings.id());
+                    started.complete(null);
+                }
+            });
+        }
+        return started;
+    }
+
+    /**
+     * Begins a planned stop.
+     *
+     * @return completes when no request is in progress, or the time for a stop is over
+     */
+    public CompletableFuture<Void> stop() {
+        eventLoop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            LOG.info("router_stopping", "router", settings.id(), "busy", callers.busy());
+            callers.beginStop();
+            beacons.send(beaconChannel);
+            Duration kept = settings.addressTime().multipliedBy(KEPT_FACTOR);
+            timers.after("refuse new requests", kept, () -> {
+                callers.refuseNew();
+                timers.every("stop check", STOP_CHECK, this::stopWhenQuiet);
+            });
+            timers.after("stop deadline", settings.stopTime().minus(STOP_MARGIN), () -> stopped("deadline"));
+        });
+        return stopped;
+    }
+
+    private void stopWhenQuiet() {
+        if (callers.busy() == 0) {
+            stopped("quiet");
+        }
+    }
+
+    private void stopped(String reason) {
+        if (!stopped.isDone()) {
+            LOG.info("router_stopped", "router", settings.id(), "reason", reason, "busy", callers.busy());
+            watcher.stop();
+            stopped.complete(null);
+        }
+    }
+
+    private boolean ready() {
+        return !stopping && forwarding.configuration().isPresent();
+    }
+
+    private StatusReply readiness() {
+        return ready() ? StatusReply.ok("text/plain", "") : StatusReply.unavailable();
+    }
+
+    private StatusReply addresses(Map<String, List<String>> query) {
+        List<String> zone = query.getOrDefault("zone", List.of());
+        List<String> addresses = peers.addressesFor(
+                zone.isEmpty() || zone.get(0).isBlank() ? null : new ZoneName(zone.get(0)),
+                ready(),
+                timers.nowNanos(),
+                MAX_ADDRESSES);
+        if (addresses.isEmpty()) {
+            return StatusReply.unavailable();
+        }
+        return StatusReply.ok("application/json", AddressPage.json(addresses, settings.addressTime()));
+    }
+
+    private StatusReply metricsPage() {
+        return StatusReply.ok("text/plain; version=0.0.4", metrics.prometheusText());
+    }
+
+    private ChannelFuture listen(String address, Map<String, org.coltsfootquay.router.status.StatusPage> pages) {
+        InetSocketAddress socket = ChannelUtils.parseAddress(address);
+        return new StatusServer(eventLoop, pages).listen(socket.getHostString(), socket.getPort());
+    }
+
+    private void register() {
+        if (stopping) {
+            return;
+        }
+        store.putRouter(settings.id().value(), PeerRows.card(self).build().toByteArray(), reply -> {
+            if (reply instanceof StoreReply.Rows) {
+                LOG.info("router_registered", "router", settings.id());
+            } else {
+                timers.after("register", REGISTER_PAUSE, this::register);
+            }
+        });
+    }
+
+    private void sweep() {
+        callers.closeIdle();
+        servers.closeExpired();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -0,0 +1,89 @@
+package org.coltsfootquay.router.node;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.router.forward.SharedBounds;
+import org.coltsfootquay.settings.SettingsObject;
+
+/**
+ * Settings of a router that forwards directly.
+ *
+ * @param id identifier, unique in the fleet
+ * @param zone availability zone
+ * @param host IP address of the VM
+ * @param callerAddress IP address and port for callers
+ * @param readyAddress IP address and port of the readiness page
+ * @param directoryAddress IP address and port of the page with the addresses of routers
+ * @param metricsAddress IP address and port of the metrics page
+ * @param peerPort port for other routers, UDP and TCP
+ * @param storeAddress IP address and port of the platform's store
+ * @param seeds IP addresses and ports of some routers, which may be out of date; only the host counts
+ * @param stopTime longest time that a planned stop may take
+ * @param addressTime time for which callers may keep the addresses
+ * @param bounds bounds that all routers share
+ */
+public record NodeSettings(
+        RouterId id,
+        ZoneName zone,
+        String host,
+        String callerAddress,
+        String readyAddress,
+        String directoryAddress,
+        String metricsAddress,
+        int peerPort,
+        String storeAddress,
+        List<String> seeds,
+        Duration stopTime,
+        Duration addressTime,
+        SharedBounds bounds) {
+
+    private static final int MAX_PORT = 65535;
+
+    /** Time for which callers keep addresses: short, since a killed router is noticed within a second. */
+    private static final Duration DEFAULT_ADDRESS_TIME = Duration.ofSeconds(1);
+
+    /** Copies the list. */
+    public NodeSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * Reads the settings; mistakes are recorded in the object.
+     *
+     * @param root root object of the settings file
+     * @return the settings
+     */
+    public static NodeSettings read(SettingsObject root) {
+        return new NodeSettings(
+                new RouterId(root.name("id")),
+                new ZoneName(root.name("zone")),
+                root.text("host"),
+                root.address("callerAddress"),
+                root.address("readyAddress"),
+                root.address("directoryAddress"),
+                root.address("metricsAddress"),
+                (int) root.number("peerPort", 1, MAX_PORT),
+                root.address("storeAddress"),
+                root.texts("seeds"),
+                root.duration("stopTime").orElse(Duration.ofSeconds(8)),
+                root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
+                root.object("bounds", NodeSettings::readBounds).orElseGet(NodeSettings::defaultBounds));
+    }
+
+    private static SharedBounds readBounds(SettingsObject bounds) {
+        SharedBounds defaults = defaultBounds();
+        return new SharedBounds(
+                bounds.decimal("retryRatio", defaults.retryRatio()),
+                bounds.decimal("retryAllowance", defaults.retryAllowance()),
+                bounds.duration("retryWindow").orElse(defaults.retryWindow()),
+                bounds.decimal("coldOvershoot", defaults.coldOvershoot()),
+                bounds.decimal("coldSlack", defaults.coldSlack()));
+    }
+
+    /** Bounds for a platform that states none: repeats for a tenth of the requests, no request above a cold rate. */
+    private static SharedBounds defaultBounds() {
+        return new SharedBounds(0.1, 10, Duration.ofSeconds(10), 1.0, 0);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -0,0 +1,128 @@
+package org.coltsfootquay.router.node;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.backend.BackendRegistry;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.state.StateDecoder;
+import org.coltsfootquay.router.state.TableListener;
+import org.coltsfootquay.router.state.TableRow;
+import org.coltsfootquay.router.state.WatchedTable;
+
+/** Puts new content of the store's tables in force; runs on the event loop. */
+final class StateApplier implements TableListener {
+
+    private static final EventLog LOG = EventLog.of(StateApplier.class);
+
+    private final ForwardingContext forwarding;
+    private final StateDecoder decoder;
+    private final TimerService timers;
+    private Set<ZoneName> evacuated = Set.of();
+
+    StateApplier(ForwardingContext forwarding, StateDecoder decoder, TimerService timers) {
+        this.forwarding = forwarding;
+        this.decoder = decoder;
+        this.timers = timers;
+    }
+
+    @Override
+    public void replaced(WatchedTable table, Collection<TableRow> rows) {
+        switch (table) {
+            case OPERATOR -> applyOperator(rows);
+            case SERVERS -> {
+                List<BackendEntry> entries = rows.stream()
+                        .map(decoder::server)
+                        .flatMap(Optional::stream)
+                        .toList();
+                Set<ServerName> before = forwarding.registry().servers();
+                forwarding.registry().replaceAll(entries, timers.nowNanos());
+                Set<ServerName> gone = new HashSet<>(before);
+                gone.removeAll(forwarding.registry().servers());
+                gone.forEach(forwarding::forgetServer);
+                LOG.info("servers_read", "servers", entries.size(), "gone", gone.size());
+            }
+            case ROUTERS -> applyRouters(rows);
+            default -> throw new IllegalArgumentException("table " + table + " has no reader; add one here");
+        }
+    }
+
+    @Override
+    public void changed(WatchedTable table, List<TableRow> changes, Collection<TableRow> rows) {
+        switch (table) {
+            case OPERATOR -> applyOperator(rows);
+            case SERVERS -> changes.forEach(this::applyServer);
+            case ROUTERS -> applyRouters(rows);
+            default -> throw new IllegalArgumentException("table " + table + " has no reader; add one here");
+        }
+    }
+
+    @Override
+    public void storeLost() {
+        forwarding.registry().storeLost(timers.nowNanos());
+    }
+
+    @Override
+    public void storeRegained() {
+        forwarding.registry().storeRegained(timers.nowNanos());
+    }
+
+    private void applyOperator(Collection<TableRow> rows) {
+        decoder.configuration(rows).ifPresent(configuration -> {
+            if (forwarding.apply(configuration)) {
+                LOG.info("configuration_in_force", "version", configuration.version());
+            }
+        });
+        Set<ZoneName> zones = decoder.evacuatedZones(rows);
+        if (!zones.equals(evacuated)) {
+            LOG.info("evacuation_changed", "zones", zones);
+            evacuated = zones;
+            forwarding.registry().evacuate(zones);
+        }
+    }
+
+    private void applyServer(TableRow row) {
+        BackendRegistry registry = forwarding.registry();
+        Optional<BackendEntry> entry = row.deleted() ? Optional.empty() : decoder.server(row);
+        if (entry.isEmpty()) {
+            ServerName server = new ServerName(row.key());
+            registry.remove(server, timers.nowNanos());
+            LOG.info("server_removed", "server", server, "revision", row.revision());
+            return;
+        }
+        boolean fresh = registry.put(entry.get(), timers.nowNanos());
+        if (fresh) {
+            forwarding.forgetServer(entry.get().server());
+        }
+        LOG.info(
+                "server_changed",
+                "server",
+                row.key(),
+                "service",
+                entry.get().service(),
+                "leaving",
+                entry.get().leaving(),
+                "coldMs",
+                entry.get().coldFor().toMillis(),
+                "new",
+                fresh,
+                "revision",
+                row.revision());
+    }
+
+    private void applyRouters(Collection<TableRow> rows) {
+        forwarding
+                .peers()
+                .register(rows.stream()
+                        .map(PeerRows::decode)
+                        .flatMap(Optional::stream)
+                        .toList());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -0,0 +1,90 @@
+package org.coltsfootquay.router.state;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Copy of one table of the store; used on one event loop.
+ *
+ * <p>The copy never goes back: a change or a whole copy that is not newer than what is held is ignored.
+ */
+public final class TableMirror {
+
+    private final TreeMap<String, TableRow> rows = new TreeMap<>();
+    private long revision;
+    private long changeRevision;
+
+    /** Creates an empty copy that knows nothing of the store. */
+    public TableMirror() {
+        // Filled by the first read.
+    }
+
+    /**
+     * Returns the revision of the store up to which the copy is complete.
+     *
+     * @return revision, 0 before the first read
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the revision of the last change that the copy includes; equal copies have equal ones.
+     *
+     * @return revision, 0 before the first read
+     */
+    public long changeRevision() {
+        return changeRevision;
+    }
+
+    /**
+     * Returns the rows.
+     *
+     * @return rows by key
+     */
+    public Collection<TableRow> rows() {
+        return List.copyOf(rows.values());
+    }
+
+    /**
+     * Replaces the copy.
+     *
+     * @param newRows all rows
+     * @param newRevision revision up to which they are complete
+     * @param newChangeRevision revision of the last change
+     * @return false if the rows are not newer than the copy
+     */
+    public boolean replace(Collection<TableRow> newRows, long newRevision, long newChangeRevision) {
+        if (newRevision < revision) {
+            return false;
+        }
+        rows.clear();
+        newRows.forEach(row -> rows.put(row.key(), row));
+        revision = newRevision;
+        changeRevision = Math.max(changeRevision, newChangeRevision);
+        return true;
+    }
+
+    /**
+     * Applies changes in order.
+     *
+     * @param changes changed and deleted rows
+     * @param newRevision revision up to which the copy is then complete
+     * @return the changes that were news
+     */
+    public List<TableRow> apply(List<TableRow> changes, long newRevision) {
+        List<TableRow> news =
+                changes.stream().filter(row -> row.revision() > revision).toList();
+        for (TableRow row : news) {
+            if (row.deleted()) {
+                rows.remove(row.key());
+            } else {
+                rows.put(row.key(), row);
+            }
+            changeRevision = Math.max(changeRevision, row.revision());
+        }
+        revision = Math.max(revision, newRevision);
+        return news;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableRow.java
@@ -0,0 +1,21 @@
+package org.coltsfootquay.router.state;
+
+import org.coltsfootquay.decision.common.ArgumentUtils;
+
+/**
+ * Row of a table, or the news that a row was deleted.
+ *
+ * @param key key
+ * @param value content, empty for a deleted row; not copied
+ * @param revision revision of the store at which the row changed
+ * @param deleted true if the row is gone
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record TableRow(String key, byte[] value, long revision, boolean deleted) {
+
+    /** Checks the values. */
+    public TableRow {
+        ArgumentUtils.requireValue(key, "key");
+        ArgumentUtils.requireValue(value, "value");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -0,0 +1,174 @@
+package org.coltsfootquay.router.state;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.log.EventLog;
+
+/**
+ * Keeps copies of the watched tables current; used on one event loop.
+ *
+ * <p>Each table is read once and then watched. A watch hangs in the store until something changes, so that calls are
+ * few; beacons of other routers reveal changes that a dead connection hides.
+ */
+public final class TableWatcher {
+
+    private static final EventLog LOG = EventLog.of(TableWatcher.class);
+
+    /** Time that the store holds a watch; longer watches are fewer calls, which the platform charges. */
+    private static final Duration WATCH_TIME = Duration.ofSeconds(20);
+
+    /** First pause after a failed call; a short glitch costs little time. */
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+
+    /** Longest pause after failed calls; half of the time in which a returned store has to be noticed. */
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
+
+    /** Failures in a row after which the store counts as lost. */
+    private static final int LOST_AFTER = 2;
+
+    private static final int MAX_DOUBLINGS = 3;
+
+    private final TableStore store;
+    private final TimerService timers;
+    private final TableListener listener;
+    private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
+    private int failuresInRow;
+    private boolean lost;
+    private boolean stopped;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param store store
+     * @param timers timers of the event loop
+     * @param listener hears of new content
+     */
+    public TableWatcher(TableStore store, TimerService timers, TableListener listener) {
+        this.store = store;
+        this.timers = timers;
+        this.listener = listener;
+        for (WatchedTable table : WatchedTable.values()) {
+            watches.put(table, new Watch(table));
+        }
+    }
+
+    /** Begins to read and watch all tables. */
+    public void start() {
+        watches.values().forEach(Watch::read);
+    }
+
+    /** Makes no more calls. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Returns the copy of a table.
+     *
+     * @param table table
+     * @return copy
+     */
+    public TableMirror mirror(WatchedTable table) {
+        return watches.get(table).mirror;
+    }
+
+    /**
+     * Takes a copy that another router holds.
+     *
+     * @param table table
+     * @param rows all rows
+     * @param revision revision up to which they are complete
+     * @param changeRevision revision of their last change
+     * @return false if the copy is not newer than the one held
+     */
+    public boolean takeCopy(WatchedTable table, Collection<TableRow> rows, long revision, long changeRevision) {
+        TableMirror mirror = mirror(table);
+        if (revision <= mirror.revision() || !mirror.replace(rows, revision, changeRevision)) {
+            return false;
+        }
+        LOG.info("table_copied", "table", table, "revision", revision);
+        listener.replaced(table, mirror.rows());
+        // The connection of the watch has not delivered what the other router knows.
+        store.reconnect(table);
+        return true;
+    }
+
+    private void answered() {
+        failuresInRow = 0;
+        if (lost) {
+            lost = false;
+            LOG.info("store_regained");
+            listener.storeRegained();
+        }
+    }
+
+    private Duration failed(WatchedTable table, String reason) {
+        failuresInRow++;
+        if (!lost && failuresInRow >= LOST_AFTER) {
+            lost = true;
+            LOG.warn("store_lost", "table", table, "reason", reason);
+            listener.storeLost();
+        }
+        Duration pause = FIRST_PAUSE.multipliedBy(1L << Math.min(MAX_DOUBLINGS, failuresInRow / 3));
+        return pause.compareTo(LONGEST_PAUSE) < 0 ? pause : LONGEST_PAUSE;
+    }
+
+    private final class Watch {
+
+        private final WatchedTable table;
+        private final TableMirror mirror = new TableMirror();
+
+        private Watch(WatchedTable table) {
+            this.table = table;
+        }
+
+        private void read() {
+            if (!stopped) {
+                store.read(table, this::readDone);
+            }
+        }
+
+        private void watch() {
+            if (!stopped) {
+                store.watch(table, mirror.revision(), WATCH_TIME, this::watchDone);
+            }
+        }
+
+        private void readDone(StoreReply reply) {
+            if (reply instanceof StoreReply.Rows rows) {
+                answered();
+                if (mirror.replace(rows.rows(), rows.revision(), newest(rows.rows()))) {
+                    listener.replaced(table, mirror.rows());
+                }
+                watch();
+            } else {
+                String reason = reply instanceof StoreReply.Unavailable away ? away.reason() : "history_gone";
+                var unused = timers.after("table read", failed(table, reason), this::read);
+            }
+        }
+
+        private long newest(List<TableRow> rows) {
+            return rows.stream().mapToLong(TableRow::revision).max().orElse(0);
+        }
+
+        private void watchDone(StoreReply reply) {
+            if (reply instanceof StoreReply.Rows rows) {
+                answered();
+                List<TableRow> news = mirror.apply(rows.rows(), rows.revision());
+                if (!news.isEmpty()) {
+                    listener.changed(table, news, mirror.rows());
+                }
+                watch();
+            } else if (reply instanceof StoreReply.HistoryGone) {
+                LOG.info("store_history_gone", "table", table, "revision", mirror.revision());
+                read();
+            } else if (reply instanceof StoreReply.Unavailable away) {
+                var unused = timers.after("table watch", failed(table, away.reason()), this::watch);
+            }
+        }
+    }
+}
