--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
@@ -0,0 +1,22 @@
+package org.coltsfootquay.decision.admission;
+
+import java.time.Duration;
+import java.util.Map;
+import org.coltsfootquay.decision.common.WorkspaceId;
+
+/** Rule that refuses requests for which there is no room. */
+public interface AdmissionPolicy {
+
+    /**
+     * Decides on a request.
+     *
+     * @param workspace workspace
+     * @param tokens size of the request
+     * @param demands demands of all workspaces on the service, this request included in what was asked
+     * @param expected expected time to the first event
+     * @param target time to the first event that the route promises
+     * @return true if the request should be sent
+     */
+    boolean admits(
+            WorkspaceId workspace, double tokens, Map<WorkspaceId, Demand> demands, Duration expected, Duration target);
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/DemandBoard.java
@@ -0,0 +1,147 @@
+package org.coltsfootquay.decision.admission;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+
+/**
+ * Demand of workspaces on services over all routers; not thread-safe.
+ *
+ * <p>Counters decay exponentially, so that a workspace that was idle has no credit and no debt for long.
+ */
+public final class DemandBoard {
+
+    /** Time constant of the decay: demand counts for about the four seconds over which shares are compared. */
+    public static final Duration MEMORY = Duration.ofSeconds(3);
+
+    /** Demand below which a counter is dropped, tokens. */
+    private static final double NEGLIGIBLE = 1;
+
+    private final Map<ServiceName, Map<WorkspaceId, Demand>> own = new HashMap<>();
+    private final Map<RouterId, Map<ServiceName, Map<WorkspaceId, Demand>>> peers = new HashMap<>();
+    private long decayedNanos;
+
+    /**
+     * Creates an empty board.
+     *
+     * @param nowNanos current time
+     */
+    public DemandBoard(long nowNanos) {
+        decayedNanos = nowNanos;
+    }
+
+    /**
+     * Notes a request.
+     *
+     * @param service service
+     * @param workspace workspace
+     * @param tokens size of the request
+     * @param nowNanos current time
+     */
+    public void asked(ServiceName service, WorkspaceId workspace, double tokens, long nowNanos) {
+        decay(nowNanos);
+        add(service, workspace, new Demand(tokens, 0));
+    }
+
+    /**
+     * Notes that a request was sent to a server.
+     *
+     * @param service service
+     * @param workspace workspace
+     * @param tokens size of the request
+     * @param nowNanos current time
+     */
+    public void sent(ServiceName service, WorkspaceId workspace, double tokens, long nowNanos) {
+        decay(nowNanos);
+        add(service, workspace, new Demand(0, tokens));
+    }
+
+    /**
+     * Replaces what a peer reports.
+     *
+     * @param peer peer
+     * @param demands demands by service and workspace
+     */
+    public void report(RouterId peer, Map<ServiceName, Map<WorkspaceId, Demand>> demands) {
+        peers.put(peer, demands);
+    }
+
+    /**
+     * Drops what a peer reported.
+     *
+     * @param peer peer
+     */
+    public void forget(RouterId peer) {
+        peers.remove(peer);
+    }
+
+    /**
+     * Returns the demand at this router.
+     *
+     * @param nowNanos current time
+     * @return demands by service and workspace
+     */
+    public Map<ServiceName, Map<WorkspaceId, Demand>> own(long nowNanos) {
+        decay(nowNanos);
+        return own;
+    }
+
+    /**
+     * Returns the demand over all routers.
+     *
+     * @param service service
+     * @param nowNanos current time
+     * @return demands by workspace
+     */
+    public Map<WorkspaceId, Demand> total(ServiceName service, long nowNanos) {
+        decay(nowNanos);
+        Map<WorkspaceId, Demand> total = new HashMap<>(own.getOrDefault(service, Map.of()));
+        for (Map<ServiceName, Map<WorkspaceId, Demand>> report : peers.values()) {
+            report.getOrDefault(service, Map.of())
+                    .forEach((workspace, demand) -> total.merge(workspace, demand, Demand::plus));
+        }
+        return total;
+    }
+
+    /**
+     * Returns the max-min fair level: the largest sent demand that a workspace may have when all that were sent are
+     * divided evenly among the workspaces that ask for more.
+     *
+     * @param demands demands of all workspaces
+     * @return level in tokens, the largest value if everything asked was sent
+     */
+    public static double fairLevel(Collection<Demand> demands) {
+        double capacity = demands.stream().mapToDouble(Demand::sent).sum();
+        double[] asked = demands.stream().mapToDouble(Demand::asked).sorted().toArray();
+        double left = capacity;
+        for (int i = 0; i < asked.length; i++) {
+            double evenly = left / (asked.length - i);
+            if (asked[i] > evenly) {
+                return evenly;
+            }
+            left -= asked[i];
+        }
+        return Double.MAX_VALUE;
+    }
+
+    private void add(ServiceName service, WorkspaceId workspace, Demand demand) {
+        own.computeIfAbsent(service, name -> new HashMap<>()).merge(workspace, demand, Demand::plus);
+    }
+
+    private void decay(long nowNanos) {
+        long elapsed = nowNanos - decayedNanos;
+        if (elapsed <= 0) {
+            return;
+        }
+        decayedNanos = nowNanos;
+        double factor = Math.exp(-(double) elapsed / MEMORY.toNanos());
+        for (Map<WorkspaceId, Demand> demands : own.values()) {
+            demands.replaceAll((workspace, demand) -> demand.times(factor));
+            demands.values().removeIf(demand -> demand.asked() < NEGLIGIBLE && demand.sent() < NEGLIGIBLE);
+        }
+    }
+}
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
@@ -7,7 +7,7 @@
 import org.coltsfootquay.decision.common.ServerName;
 
 /**
- * Shared prompt parts that this router has recently had servers read; not thread-safe.
+ * Shared prompt parts that the routers have recently had servers read; not thread-safe.
  *
  * <p>Servers drop the least recently used parts, so the view forgets in the same order once its share of a server's
  * memory is full.
@@ -29,7 +29,7 @@
      *
      * @param server server
      * @param sharedKey key of the shared parts
-     * @return true if this router had the server read them and they are not forgotten since
+     * @return true if a router had the server read them and they are not forgotten since
      */
     public boolean keeps(ServerName server, long sharedKey) {
         Cache cache = caches.get(server);
@@ -40,12 +40,12 @@
      * Notes that a server reads the shared parts of a prompt.
      *
      * @param server server
-     * @param prompt prompt
+     * @param sharedKey key of the shared parts
+     * @param tokens tokens of the shared parts
      * @param memoryTokens memory of the server, tokens
      */
-    public void read(ServerName server, Prompt prompt, long memoryTokens) {
-        caches.computeIfAbsent(server, name -> new Cache())
-                .put(prompt.sharedKey(), prompt.sharedTokens(), (long) (memoryTokens * CACHE_SHARE));
+    public void read(ServerName server, long sharedKey, int tokens, long memoryTokens) {
+        caches.computeIfAbsent(server, name -> new Cache()).put(sharedKey, tokens, (long) (memoryTokens * CACHE_SHARE));
     }
 
     /**
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -27,6 +27,15 @@
     /** Time that each running request adds to the wait for the first token, milliseconds; measured. */
     private static final double RUNNING_REQUEST_MILLIS = 1.5;
 
+    /**
+     * Weight of reading a shared part, beside the time it takes: it delays later requests and drives other parts
+     * out of the cache.
+     */
+    private static final double MISS_WEIGHT = 2;
+
+    /** Cost of an engine that is not the home of the shared part, milliseconds; decides where a new part is read. */
+    private static final double OTHER_HOME_MILLIS = 40;
+
     /** Cost of an engine in another zone, milliseconds: the price of its traffic weighed against the wait. */
     private static final double OTHER_ZONE_MILLIS = 12;
 
@@ -72,10 +81,12 @@
         double bestMillis = 0;
         long bestTokens = 0;
         for (BackendEntry entry : candidates) {
-            boolean kept = entry.server().equals(home) || caches.keeps(entry.server(), key);
-            long newTokens = (long) prompt.tokens() - (kept ? prompt.sharedTokens() : 0);
+            int missing = caches.keeps(entry.server(), key) ? 0 : prompt.sharedTokens();
+            long newTokens = (long) prompt.tokens() - prompt.sharedTokens() + missing;
             double millis = expectedMillis(entry, newTokens, prompt);
             double cost = millis
+                    + MISS_WEIGHT * missing / READ_TOKENS_PER_MILLI
+                    + (entry.server().equals(home) ? 0 : OTHER_HOME_MILLIS)
                     + (entry.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS)
                     + FAILURE_MILLIS * health.failureRate(entry.server());
             if (cost < bestCost) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
@@ -52,6 +52,12 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** A generated token counts as two tokens read; source: the operator's measure of shares. */
+    private static final double OUTPUT_WEIGHT = 2;
+
+    /** Workspace of requests on open routes. */
+    private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
+
     private final ForwardingContext context;
     private final CallerExchange caller;
     private final HttpMethod method;
@@ -110,6 +116,7 @@
     /** Begins to work on the request. */
     void start() {
         context.retries().requested(service.name(), now());
+        context.demands().asked(service.name(), workspace.orElse(NO_WORKSPACE), size(), now());
         long left = Math.max(0, expiresNanos - now() - FINAL_MARGIN.toNanos());
         expiry = context.timers().after("request expiry", Duration.ofNanos(left), this::expire);
         trySend();
@@ -146,9 +153,8 @@
             return;
         }
         candidate = choice.get();
-        long left = expiresNanos - now();
-        if (!streaming && !mayHaveRun && candidate.expected().toNanos() > left * REFUSE_ABOVE) {
-            giveUp("too_late", RetryAfter.OVERLOAD);
+        if (!streaming && !mayHaveRun && !admitted()) {
+            giveUp("no_room", RetryAfter.afterWait(candidate.expected(), route.target()));
             return;
         }
         charge();
@@ -156,6 +162,44 @@
         context.connections().acquire(target, this::send, reason -> notConnected(target, reason));
     }
 
+    /** Tells whether the chosen server has room for the request now. */
+    private boolean admitted() {
+        long waited = now() - arrivedNanos;
+        if (candidate.expected().toNanos() > (expiresNanos - now()) * REFUSE_ABOVE) {
+            return false;
+        }
+        if (service.cacheTokens() == 0 || route.target().isZero()) {
+            return true;
+        }
+        boolean admits = context.admission()
+                .admits(
+                        workspace.orElse(NO_WORKSPACE),
+                        size(),
+                        context.demands().total(service.name(), now()),
+                        candidate.expected().plusNanos(waited),
+                        route.target());
+        if (!admits) {
+            LOG.info(
+                    "request_not_admitted",
+                    "request",
+                    facts.requestId(),
+                    "server",
+                    candidate.entry().server(),
+                    "expectedMs",
+                    candidate.expected().toMillis(),
+                    "targetMs",
+                    route.target().toMillis(),
+                    "workspace",
+                    workspace.map(WorkspaceId::value).orElse("none"));
+        }
+        return admits;
+    }
+
+    /** Returns the size of the request for the comparison of workspaces: tokens read and, twice, tokens generated. */
+    private double size() {
+        return facts.prompt().tokens() + OUTPUT_WEIGHT * facts.prompt().maxOutputTokens();
+    }
+
     private void notConnected(BackendEntry target, String reason) {
         if (done) {
             return;
@@ -200,8 +244,9 @@
         Optional<String> resumeAfter = events == null ? Optional.empty() : events.lastId();
         SendFacts sendFacts = new SendFacts(target, remaining, workspace, resumeAfter);
         HttpHeaders forServer = context.dialect().forServer(headers, sendFacts);
-        if (route.promptLocality()) {
-            context.caches().read(target.server(), facts.prompt(), service.cacheTokens());
+        context.gaveToRead(target.server(), facts.prompt());
+        if (sends == 1) {
+            context.demands().sent(service.name(), workspace.orElse(NO_WORKSPACE), size(), now);
         }
         LOG.info(
                 "request_sent",
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -1,9 +1,14 @@
 package org.coltsfootquay.router.forward;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import org.coltsfootquay.decision.admission.AdmissionPolicy;
+import org.coltsfootquay.decision.admission.DemandBoard;
+import org.coltsfootquay.decision.admission.FairSharePolicy;
 import org.coltsfootquay.decision.backend.BackendRegistry;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
@@ -16,6 +21,7 @@
 import org.coltsfootquay.decision.route.ServicePolicy;
 import org.coltsfootquay.decision.selection.LeastLoadedSelector;
 import org.coltsfootquay.decision.selection.LoadBoard;
+import org.coltsfootquay.decision.selection.Prompt;
 import org.coltsfootquay.decision.selection.PromptCacheView;
 import org.coltsfootquay.decision.selection.PromptLocalitySelector;
 import org.coltsfootquay.decision.selection.ServerChooser;
@@ -37,6 +43,9 @@
     private final LoadBoard loads = new LoadBoard();
     private final PromptCacheView caches = new PromptCacheView();
     private final ServerHealth health = new ServerHealth();
+    private final DemandBoard demands;
+    private final AdmissionPolicy admission = new FairSharePolicy();
+    private final List<CacheRead> newReads = new ArrayList<>();
     private final FleetRetryShare retries;
     private final ServerChooser chooser;
     private final Map<ServiceName, ServerSelector> selectors = new HashMap<>();
@@ -69,6 +78,7 @@
         this.connections = connections;
         this.peers = peers;
         this.metrics = metrics;
+        this.demands = new DemandBoard(timers.nowNanos());
         this.retries = new FleetRetryShare(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindow());
         this.chooser = new ServerChooser(
                 registry, health, new ColdStartLimiter(self), bounds.coldOvershoot(), bounds.coldSlack());
@@ -145,8 +155,53 @@
         connections.dropIdle(server);
     }
 
-    PromptCacheView caches() {
-        return caches;
+    /**
+     * Returns the demand of workspaces.
+     *
+     * @return demands
+     */
+    public DemandBoard demands() {
+        return demands;
+    }
+
+    /**
+     * Notes that a server was given shared prompt parts to read.
+     *
+     * @param read what is read
+     */
+    public void serverReads(CacheRead read) {
+        caches.read(read.server(), read.sharedKey(), read.tokens(), memoryTokens(read.server()));
+    }
+
+    /**
+     * Returns what servers were given to read by this router since the last call.
+     *
+     * @return reads
+     */
+    public List<CacheRead> takeNewReads() {
+        List<CacheRead> taken = List.copyOf(newReads);
+        newReads.clear();
+        return taken;
+    }
+
+    /** Notes that this router gives a server a prompt to read. */
+    void gaveToRead(ServerName server, Prompt prompt) {
+        if (prompt.sharedTokens() > 0) {
+            CacheRead read = new CacheRead(server, prompt.sharedKey(), prompt.sharedTokens());
+            serverReads(read);
+            newReads.add(read);
+        }
+    }
+
+    AdmissionPolicy admission() {
+        return admission;
+    }
+
+    private long memoryTokens(ServerName server) {
+        return registry.usable(server, timers.nowNanos())
+                .flatMap(entry -> configuration().flatMap(current -> current.service(entry.service())))
+                .map(ServicePolicy::cacheTokens)
+                .orElse(0L);
     }
 
     ServerHealth health() {
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -8,14 +8,20 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.coltsfootquay.decision.admission.Demand;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.protocol.generated.peer.BeaconDemand;
 import org.coltsfootquay.protocol.generated.peer.BeaconLoad;
+import org.coltsfootquay.protocol.generated.peer.BeaconRead;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.forward.CacheRead;
 import org.coltsfootquay.router.forward.ForwardingContext;
 import org.coltsfootquay.router.log.EventLog;
 import org.coltsfootquay.router.neighbor.BeaconChannel;
@@ -75,6 +81,7 @@
         for (RouterId silent : forwarding.peers().dropSilent(timers.nowNanos())) {
             LOG.warn("router_lost", "router", silent);
             forwarding.loads().forget(silent);
+            forwarding.demands().forget(silent);
             lives.remove(silent);
         }
         Beacon.Builder beacon = PeerRows.card(self)
@@ -92,6 +99,21 @@
                         .setRequests(load.requests())
                         .setUnreadTokens(load.unreadTokens())
                         .setHeldTokens(load.heldTokens())));
+        for (CacheRead read : forwarding.takeNewReads()) {
+            beacon.addReads(BeaconRead.newBuilder()
+                    .setServer(read.server().value())
+                    .setSharedKey(read.sharedKey())
+                    .setTokens(read.tokens()));
+        }
+        forwarding
+                .demands()
+                .own(timers.nowNanos())
+                .forEach((service, demands) ->
+                        demands.forEach((workspace, demand) -> beacon.addDemands(BeaconDemand.newBuilder()
+                                .setService(service.value())
+                                .setWorkspace(workspace.value())
+                                .setAsked((long) demand.asked())
+                                .setSent((long) demand.sent()))));
         byte[] bytes = beacon.build().toByteArray();
         List<PeerRouter> targets = forwarding.peers().beaconTargets();
         for (PeerRouter target : targets) {
@@ -127,6 +149,20 @@
             }
         }
         forwarding.loads().report(peer.id(), loads);
+        for (BeaconRead read : beacon.getReadsList()) {
+            if (!read.getServer().isEmpty()) {
+                forwarding.serverReads(
+                        new CacheRead(new ServerName(read.getServer()), read.getSharedKey(), read.getTokens()));
+            }
+        }
+        Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
+        for (BeaconDemand demand : beacon.getDemandsList()) {
+            if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
+                demands.computeIfAbsent(new ServiceName(demand.getService()), name -> new HashMap<>())
+                        .put(new WorkspaceId(demand.getWorkspace()), new Demand(demand.getAsked(), demand.getSent()));
+            }
+        }
+        forwarding.demands().report(peer.id(), demands);
         for (WatchedTable table : WatchedTable.values()) {
             if (table.number() < beacon.getTableRevisionsCount()) {
                 compare(peer, table, beacon.getTableRevisions(table.number()));
