--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/backend/BackendRegistryTest.java
@@ -0,0 +1,100 @@
+package org.coltsfootquay.decision.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work for servers that leave, and against the loss of living servers after an outage of the store. */
+final class BackendRegistryTest {
+
+    private static final ServiceName SERVICE = new ServiceName("service");
+    private static final ServerName SERVER = new ServerName("s1");
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final BackendRegistry registry = new BackendRegistry();
+
+    @Test
+    void readyServerIsUsable() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        assertEquals(1, registry.usable(SERVICE, 0).size());
+    }
+
+    @Test
+    void leavingServerGetsNoWork() {
+        registry.put(entry(1, true, Duration.ZERO), 0);
+        assertTrue(registry.usable(SERVICE, 0).isEmpty());
+    }
+
+    @Test
+    void serverOfAnEvacuatedZoneGetsNoWork() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        registry.evacuate(Set.of(new ZoneName("zone")));
+        assertTrue(registry.usable(SERVER, 0).isEmpty());
+    }
+
+    @Test
+    void removalHoldsAtOnceWhileTheStoreIsWell() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        registry.remove(SERVER, SECOND);
+        assertTrue(registry.usable(SERVICE, SECOND).isEmpty());
+    }
+
+    @Test
+    void entryThatLapsedInAnOutageIsKeptUntilServersCanHaveReturned() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        registry.storeLost(SECOND);
+        registry.storeRegained(5 * SECOND);
+        registry.replaceAll(List.of(), 5 * SECOND);
+        assertEquals(1, registry.usable(SERVICE, 6 * SECOND).size());
+    }
+
+    @Test
+    void entryThatIsStillMissingAfterwardsIsGone() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        registry.storeLost(SECOND);
+        registry.storeRegained(5 * SECOND);
+        registry.replaceAll(List.of(), 5 * SECOND);
+        assertTrue(registry.usable(SERVICE, 7 * SECOND).isEmpty());
+    }
+
+    @Test
+    void entryThatReturnsAfterAnOutageStays() {
+        registry.put(entry(1, false, Duration.ZERO), 0);
+        registry.storeLost(SECOND);
+        registry.storeRegained(5 * SECOND);
+        registry.replaceAll(List.of(), 5 * SECOND);
+        registry.put(entry(1, false, Duration.ZERO), 6 * SECOND);
+        assertEquals(1, registry.usable(SERVICE, 9 * SECOND).size());
+    }
+
+    @Test
+    void entryOfAnEarlierLifeIsIgnored() {
+        registry.put(entry(200, true, Duration.ZERO), 0);
+        assertFalse(registry.put(entry(100, false, Duration.ZERO), SECOND));
+        assertTrue(registry.usable(SERVICE, SECOND).isEmpty());
+    }
+
+    @Test
+    void restartUnderTheSameNameIsNoticed() {
+        registry.put(entry(100, false, Duration.ZERO), 0);
+        assertTrue(registry.put(entry(200, false, Duration.ZERO), SECOND));
+    }
+
+    @Test
+    void coldTimeCountsFromTheEntry() {
+        registry.put(entry(1, false, Duration.ofSeconds(3)), SECOND);
+        assertEquals(4 * SECOND, registry.coldUntilNanos(SERVER));
+    }
+
+    private static BackendEntry entry(long started, boolean leaving, Duration coldFor) {
+        return new BackendEntry(SERVER, SERVICE, "10.0.0.1", 80, new ZoneName("zone"), 4, leaving, coldFor, started);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/peer/PeerTableTest.java
@@ -0,0 +1,81 @@
+package org.coltsfootquay.decision.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against callers who are sent to dead routers, and against shared limits that forget unreachable routers. */
+final class PeerTableTest {
+
+    private static final ZoneName HERE = new ZoneName("here");
+    private static final ZoneName THERE = new ZoneName("there");
+    private static final long SILENCE = PeerTable.SILENCE.toNanos();
+
+    private final PeerTable table = new PeerTable(router("r1", HERE));
+
+    @Test
+    void peerThatWasHeardIsNamed() {
+        table.heard(router("r2", THERE), true, 0);
+        assertEquals(List.of("r1:80", "r2:80"), table.addressesFor(null, true, 0, 64));
+    }
+
+    @Test
+    void silentPeerIsNotNamed() {
+        table.heard(router("r2", HERE), true, 0);
+        assertEquals(List.of("r1:80"), table.addressesFor(null, true, SILENCE + 1, 64));
+    }
+
+    @Test
+    void registeredRouterThatWasNeverHeardIsNotNamed() {
+        table.register(List.of(router("r2", HERE)));
+        assertEquals(List.of("r1:80"), table.addressesFor(null, true, 0, 64));
+    }
+
+    @Test
+    void stoppingPeerIsNotNamed() {
+        table.heard(router("r2", HERE), false, 0);
+        assertEquals(List.of("r1:80"), table.addressesFor(null, true, 0, 64));
+    }
+
+    @Test
+    void stoppingRouterDoesNotNameItself() {
+        assertTrue(table.addressesFor(null, false, 0, 64).isEmpty());
+    }
+
+    @Test
+    void routersOfTheCallersZoneComeAlone() {
+        table.heard(router("r2", HERE), true, 0);
+        table.heard(router("r3", THERE), true, 0);
+        assertEquals(List.of("r1:80", "r2:80"), table.addressesFor(HERE, true, 0, 64));
+    }
+
+    @Test
+    void singleRouterOfTheCallersZoneDoesNotComeAlone() {
+        table.heard(router("r3", THERE), true, 0);
+        assertEquals(List.of("r1:80", "r3:80"), table.addressesFor(HERE, true, 0, 64));
+    }
+
+    @Test
+    void silentRegisteredRouterStillCountsForSharedLimits() {
+        table.register(List.of(router("r2", HERE)));
+        table.heard(router("r2", HERE), true, 0);
+        table.dropSilent(Duration.ofSeconds(60).toNanos());
+        assertEquals(List.of(new RouterId("r1"), new RouterId("r2")), table.members());
+    }
+
+    @Test
+    void silentPeerIsReportedOnce() {
+        table.heard(router("r2", HERE), true, 0);
+        assertEquals(List.of(new RouterId("r2")), table.dropSilent(SILENCE + 1));
+        assertTrue(table.dropSilent(SILENCE + 2).isEmpty());
+    }
+
+    private static PeerRouter router(String id, ZoneName zone) {
+        return new PeerRouter(new RouterId(id), zone, "10.0.0.1", 7400, id + ":80");
+    }
+}
