--- a/router/src/main/java/org/coltsfootquay/router/node/EventLoopTimers.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/EventLoopTimers.java
@@ -8,13 +8,18 @@
 import org.coltsfootquay.router.log.EventLog;
 
 /** Timer service whose tasks run on an event loop. */
-final class EventLoopTimers implements TimerService {
+public final class EventLoopTimers implements TimerService {
 
     private static final EventLog LOG = EventLog.of(EventLoopTimers.class);
 
     private final EventLoop eventLoop;
 
-    EventLoopTimers(EventLoop eventLoop) {
+    /**
+     * Creates a timer service.
+     *
+     * @param eventLoop event loop
+     */
+    public EventLoopTimers(EventLoop eventLoop) {
         this.eventLoop = eventLoop;
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
@@ -21,8 +21,8 @@
         void answer(String head, OutputStream output, Socket socket) throws Exception;
     }
 
-    final List<String> heads = new CopyOnWriteArrayList<>();
-    final AtomicInteger connections = new AtomicInteger();
+    public final List<String> heads = new CopyOnWriteArrayList<>();
+    public final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket server;
     private final Script script;
 
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -0,0 +1,142 @@
+package org.coltsfootquay.router.forward;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.route.CallerLimits;
+import org.coltsfootquay.decision.route.Route;
+import org.coltsfootquay.decision.route.RouteKind;
+import org.coltsfootquay.decision.route.RoutingConfiguration;
+import org.coltsfootquay.decision.route.ServicePolicy;
+import org.coltsfootquay.decision.route.WeightedService;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+import org.coltsfootquay.router.node.EventLoopTimers;
+
+/** A forwarding router on loopback with a configuration of one host; callers write plain HTTP. */
+final class ForwardingFixture implements AutoCloseable {
+
+    static final ServiceName SERVICE = new ServiceName("service");
+    private static final ZoneName ZONE = new ZoneName("zone");
+    private static final int CALLER_TIMEOUT_MILLIS = 5000;
+
+    final ForwardingContext context;
+    final CallerConnections callers;
+    private final EventLoopGroup group = ChannelUtils.eventLoops("forwarding-test", 1);
+    private final EventLoop loop = group.next();
+    private final InetSocketAddress address;
+    private int servers;
+
+    ForwardingFixture() throws Exception {
+        EventLoopTimers timers = new EventLoopTimers(loop);
+        PlainDialect dialect = new PlainDialect();
+        PeerRouter self = new PeerRouter(new RouterId("r1"), ZONE, "127.0.0.1", 1, "127.0.0.1:1");
+        context = new ForwardingContext(
+                self.id(),
+                ZONE,
+                timers,
+                dialect,
+                new ServerConnections(loop, dialect, System::nanoTime),
+                new PeerTable(self),
+                new SharedBounds(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
+                new RouterMetrics());
+        callers = new CallerConnections(loop, context);
+        address = (InetSocketAddress)
+                callers.listen("127.0.0.1", 0).sync().channel().localAddress();
+    }
+
+    /** Puts routes with the prefixes /once/, /safe/, /stream/, /resume/ and /short/ in force. */
+    ForwardingFixture configured() throws Exception {
+        List<Route> routes = List.of(
+                route("/once/", RouteKind.AT_MOST_ONCE, false, Duration.ofSeconds(3)),
+                route("/safe/", RouteKind.IDEMPOTENT, false, Duration.ofSeconds(3)),
+                route("/stream/", RouteKind.STREAM, false, Duration.ofSeconds(3)),
+                route("/resume/", RouteKind.STREAM, true, Duration.ofSeconds(3)),
+                route("/short/", RouteKind.AT_MOST_ONCE, false, Duration.ofMillis(300)));
+        RoutingConfiguration configuration = new RoutingConfiguration(
+                1,
+                routes,
+                List.of(new ServicePolicy(SERVICE, 100, 0, Duration.ZERO, 0)),
+                Map.of("good", new WorkspaceId("workspace")),
+                true,
+                new CallerLimits(8192, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+        loop.submit(() -> context.apply(configuration)).sync();
+        return this;
+    }
+
+    /** Registers a server and returns its name. */
+    String server(String hostAndPort) throws Exception {
+        InetSocketAddress at = ChannelUtils.parseAddress(hostAndPort);
+        String name = "s" + servers++;
+        BackendEntry entry = new BackendEntry(
+                new ServerName(name), SERVICE, at.getHostString(), at.getPort(), ZONE, 8, false, Duration.ZERO, 1);
+        loop.submit(() -> context.registry().put(entry, System.nanoTime())).sync();
+        return name;
+    }
+
+    /** Takes a server out. */
+    void remove(String server) throws Exception {
+        loop.submit(() -> context.registry().remove(new ServerName(server), System.nanoTime()))
+                .sync();
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Sends a request with a good key on a connection of its own and returns all that comes until the end. */
+    String call(String method, String path, String id) throws IOException {
+        return raw(method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id
+                + "\r\nX-Key: good\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    String raw(String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            ByteArrayOutputStream answer = new ByteArrayOutputStream();
+            try {
+                socket.getInputStream().transferTo(answer);
+            } catch (java.net.SocketException e) {
+                answer.writeBytes("[reset]".getBytes(StandardCharsets.US_ASCII));
+            }
+            return answer.toString(StandardCharsets.US_ASCII);
+        }
+    }
+
+    @Override
+    public void close() {
+        ChannelUtils.shutDown(group).join();
+    }
+
+    private static Route route(String prefix, RouteKind kind, boolean resumable, Duration timeout) {
+        return new Route(
+                prefix,
+                "host",
+                prefix,
+                kind,
+                List.of(new WeightedService(SERVICE, 1)),
+                timeout,
+                Duration.ofMillis(200),
+                2,
+                false,
+                resumable,
+                false);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/PlainDialect.java
@@ -0,0 +1,42 @@
+package org.coltsfootquay.router.forward;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import org.coltsfootquay.decision.selection.Prompt;
+
+/** Dialect with plain header names for tests. */
+final class PlainDialect implements RequestDialect {
+
+    @Override
+    public RequestFacts read(HttpRequest request) {
+        HttpHeaders headers = request.headers();
+        return new RequestFacts(
+                headers.get("X-Id", ""),
+                headers.get("Host", ""),
+                Optional.ofNullable(headers.get("X-Key")),
+                Optional.ofNullable(headers.get("X-Deadline")).map(text -> Duration.ofMillis(Long.parseLong(text))),
+                Prompt.NONE);
+    }
+
+    @Override
+    public HttpHeaders forServer(HttpHeaders callerHeaders, SendFacts facts) {
+        HttpHeaders headers = HeaderUtils.endToEnd(callerHeaders);
+        headers.set("X-Deadline", facts.remaining().toMillis());
+        headers.set("X-Server", facts.server().server().value());
+        facts.resumeAfter().ifPresent(id -> headers.set("X-Resume", id));
+        return headers;
+    }
+
+    @Override
+    public AnswerFacts readAnswer(HttpResponse response) {
+        HttpHeaders headers = response.headers();
+        return new AnswerFacts(
+                headers.get("X-Id", ""),
+                headers.contains("X-Seal"),
+                headers.contains("X-Not-Run"),
+                headers.contains("Content-Encoding"));
+    }
+}
