--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/state/FakeTableStore.java
@@ -0,0 +1,63 @@
+package org.coltsfootquay.router.state;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Store whose replies a test gives one by one. */
+final class FakeTableStore implements TableStore {
+
+    /** A call that waits for its reply. */
+    record Call(String kind, long afterRevision, Consumer<StoreReply> done) {}
+
+    final List<WatchedTable> reconnected = new ArrayList<>();
+    private final Map<WatchedTable, Deque<Call>> calls = new EnumMap<>(WatchedTable.class);
+
+    FakeTableStore() {
+        for (WatchedTable table : WatchedTable.values()) {
+            calls.put(table, new ArrayDeque<>());
+        }
+    }
+
+    Call next(WatchedTable table) {
+        Call call = calls.get(table).poll();
+        if (call == null) {
+            throw new AssertionError("no call waits on " + table);
+        }
+        return call;
+    }
+
+    int waiting(WatchedTable table) {
+        return calls.get(table).size();
+    }
+
+    @Override
+    public void read(WatchedTable table, Consumer<StoreReply> done) {
+        calls.get(table).add(new Call("read", 0, done));
+    }
+
+    @Override
+    public void watch(WatchedTable table, long afterRevision, Duration wait, Consumer<StoreReply> done) {
+        calls.get(table).add(new Call("watch", afterRevision, done));
+    }
+
+    @Override
+    public void putRouter(String key, byte[] value, Consumer<StoreReply> done) {
+        done.accept(new StoreReply.Rows(List.of(), 0));
+    }
+
+    @Override
+    public void removeRouter(String key, Consumer<StoreReply> done) {
+        done.accept(new StoreReply.Rows(List.of(), 0));
+    }
+
+    @Override
+    public void reconnect(WatchedTable table) {
+        reconnected.add(table);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -0,0 +1,141 @@
+package org.coltsfootquay.router.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.coltsfootquay.decision.timer.DrivenTimerService;
+import org.junit.jupiter.api.Test;
+
+/** Guards against copies of the store's tables that miss changes or go back to older content. */
+final class TableWatcherTest {
+
+    private static final WatchedTable TABLE = WatchedTable.SERVERS;
+
+    private final DrivenTimerService timers = new DrivenTimerService(0);
+    private final FakeTableStore store = new FakeTableStore();
+    private final List<String> heard = new ArrayList<>();
+    private final TableWatcher watcher = new TableWatcher(store, timers, new Recorder());
+
+    @Test
+    void tableIsReadAndThenWatchedFromTheRevisionOfTheRead() {
+        watcher.start();
+        store.next(TABLE).done().accept(rows(7, row("a", 3)));
+        FakeTableStore.Call watch = store.next(TABLE);
+        assertEquals("watch", watch.kind());
+        assertEquals(7, watch.afterRevision());
+        assertEquals(List.of("replaced [a]"), heard);
+    }
+
+    @Test
+    void changesAreAppliedInOrder() {
+        startedAt(7);
+        store.next(TABLE).done().accept(rows(9, row("b", 8), gone("a", 9)));
+        assertEquals(List.of("replaced [a]", "changed [b, -a] to [b]"), heard);
+        assertEquals(9, store.next(TABLE).afterRevision());
+    }
+
+    @Test
+    void droppedHistoryLeadsToAFullRead() {
+        startedAt(7);
+        store.next(TABLE).done().accept(new StoreReply.HistoryGone());
+        FakeTableStore.Call read = store.next(TABLE);
+        assertEquals("read", read.kind());
+        read.done().accept(rows(20, row("b", 15)));
+        assertEquals(List.of("replaced [a]", "replaced [b]"), heard);
+    }
+
+    @Test
+    void failedWatchIsRepeatedAfterAPause() {
+        startedAt(7);
+        store.next(TABLE).done().accept(new StoreReply.Unavailable("status 503"));
+        assertEquals(0, store.waiting(TABLE));
+        timers.advance(Duration.ofMillis(100).toNanos());
+        assertEquals(7, store.next(TABLE).afterRevision());
+    }
+
+    @Test
+    void lossAndReturnOfTheStoreAreHeardOnceEach() {
+        startedAt(7);
+        for (int i = 0; i < 4; i++) {
+            store.next(TABLE).done().accept(new StoreReply.Unavailable("status 503"));
+            timers.advance(timers.nowNanos() + Duration.ofSeconds(1).toNanos());
+        }
+        store.next(TABLE).done().accept(rows(7));
+        assertEquals(List.of("replaced [a]", "lost", "regained"), heard);
+    }
+
+    @Test
+    void newerCopyOfAPeerIsTaken() {
+        startedAt(7);
+        assertTrue(watcher.takeCopy(TABLE, List.of(row("c", 12)), 12, 12));
+        assertEquals(List.of("replaced [a]", "replaced [c]"), heard);
+        assertEquals(List.of(TABLE), store.reconnected);
+    }
+
+    @Test
+    void olderCopyOfAPeerIsNotTaken() {
+        startedAt(7);
+        assertFalse(watcher.takeCopy(TABLE, List.of(row("c", 5)), 6, 5));
+        assertEquals(List.of("replaced [a]"), heard);
+    }
+
+    /** A watch that was sent before a peer's copy arrived may still be answered. */
+    @Test
+    void lateAnswerDoesNotUndoAPeersCopy() {
+        startedAt(7);
+        FakeTableStore.Call late = store.next(TABLE);
+        watcher.takeCopy(TABLE, List.of(row("c", 12)), 12, 12);
+        late.done().accept(rows(10, row("b", 10)));
+        assertEquals(List.of("replaced [a]", "replaced [c]"), heard);
+        assertEquals(12, watcher.mirror(TABLE).revision());
+    }
+
+    private void startedAt(long revision) {
+        watcher.start();
+        store.next(TABLE).done().accept(rows(revision, row("a", 3)));
+    }
+
+    private static StoreReply rows(long revision, TableRow... rows) {
+        return new StoreReply.Rows(List.of(rows), revision);
+    }
+
+    private static TableRow row(String key, long revision) {
+        return new TableRow(key, new byte[0], revision, false);
+    }
+
+    private static TableRow gone(String key, long revision) {
+        return new TableRow(key, new byte[0], revision, true);
+    }
+
+    private final class Recorder implements TableListener {
+
+        @Override
+        public void replaced(WatchedTable table, Collection<TableRow> rows) {
+            heard.add("replaced " + rows.stream().map(TableRow::key).toList());
+        }
+
+        @Override
+        public void changed(WatchedTable table, List<TableRow> changes, Collection<TableRow> rows) {
+            heard.add("changed "
+                    + changes.stream()
+                            .map(row -> (row.deleted() ? "-" : "") + row.key())
+                            .toList()
+                    + " to " + rows.stream().map(TableRow::key).toList());
+        }
+
+        @Override
+        public void storeLost() {
+            heard.add("lost");
+        }
+
+        @Override
+        public void storeRegained() {
+            heard.add("regained");
+        }
+    }
+}
