--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
@@ -1,9 +1,11 @@
 package org.coltsfootquay.decision.selection;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.coltsfootquay.decision.common.ServerName;
 
 /**
@@ -18,6 +20,8 @@
     private static final double CACHE_SHARE = 0.6;
 
     private final Map<ServerName, Cache> caches = new HashMap<>();
+    private final Set<Long> known = new HashSet<>();
+    private boolean homesTrusted;
 
     /** Creates an empty view. */
     public PromptCacheView() {
@@ -36,6 +40,30 @@
         return cache != null && cache.parts.containsKey(sharedKey);
     }
 
+    /**
+     * Tells whether the home of shared parts that were not heard of yet is believed to keep them.
+     *
+     * <p>A router that joins a running fleet knows nothing, while the homes have had the parts for long.
+     *
+     * @param sharedKey key of the shared parts
+     * @return true if homes are trusted and no read of the parts is known
+     */
+    public boolean homeKeeps(long sharedKey) {
+        return homesTrusted && !known.contains(sharedKey);
+    }
+
+    /**
+     * Sets whether homes are believed to keep parts that were not heard of.
+     *
+     * @param trusted true for a router that has just joined a running fleet
+     */
+    public void trustHomes(boolean trusted) {
+        homesTrusted = trusted;
+        if (!trusted) {
+            known.clear();
+        }
+    }
+
     /**
      * Notes that a server reads the shared parts of a prompt.
      *
@@ -45,6 +73,9 @@
      * @param memoryTokens memory of the server, tokens
      */
     public void read(ServerName server, long sharedKey, int tokens, long memoryTokens) {
+        if (homesTrusted) {
+            known.add(sharedKey);
+        }
         caches.computeIfAbsent(server, name -> new Cache()).put(sharedKey, tokens, (long) (memoryTokens * CACHE_SHARE));
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -81,7 +81,8 @@
         double bestMillis = 0;
         long bestTokens = 0;
         for (BackendEntry entry : candidates) {
-            int missing = caches.keeps(entry.server(), key) ? 0 : prompt.sharedTokens();
+            boolean kept = caches.keeps(entry.server(), key) || (entry.server().equals(home) && caches.homeKeeps(key));
+            int missing = kept ? 0 : prompt.sharedTokens();
             long newTokens = (long) prompt.tokens() - prompt.sharedTokens() + missing;
             double millis = expectedMillis(entry, newTokens, prompt);
             double cost = millis
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/PromptCacheViewTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/PromptCacheViewTest.java
@@ -35,4 +35,24 @@
         view.forget(SERVER);
         assertFalse(view.keeps(SERVER, 1));
     }
+
+    @Test
+    void homeIsTrustedWithPartsThatWereNotHeardOf() {
+        view.trustHomes(true);
+        assertTrue(view.homeKeeps(1));
+    }
+
+    @Test
+    void homeIsNotTrustedOnceAPartWasHeardOf() {
+        view.trustHomes(true);
+        view.read(SERVER, 1, 100, 1000);
+        assertFalse(view.homeKeeps(1));
+    }
+
+    @Test
+    void trustEnds() {
+        view.trustHomes(true);
+        view.trustHomes(false);
+        assertFalse(view.homeKeeps(1));
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -43,6 +43,9 @@
     /** Requests that a caller may send ahead of its answers. */
     private static final int MAX_PIPELINED = 8;
 
+    /** Time that a request waits for the first configuration of a router that has just started. */
+    private static final Duration STATE_WAIT = Duration.ofMillis(250);
+
     private final ForwardingContext forwarding;
     private final CallerConnections connections;
     private final Deque<CallerRequestBytes> waiting = new ArrayDeque<>();
@@ -184,6 +187,18 @@
     private void begin(CallerRequestBytes request, HttpRequest requestHead, boolean keep) {
         busy = true;
         keepAlive = keep;
+        if (forwarding.stateKnown()) {
+            check(request, requestHead);
+        } else {
+            forwarding.whenStateKnown(STATE_WAIT, () -> {
+                if (channel.channel().isActive()) {
+                    check(request, requestHead);
+                }
+            });
+        }
+    }
+
+    private void check(CallerRequestBytes request, HttpRequest requestHead) {
         long now = forwarding.timers().nowNanos();
         Optional<RoutingConfiguration> configuration = forwarding.configuration();
         RequestFacts facts;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -1,5 +1,6 @@
 package org.coltsfootquay.router.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,7 +50,9 @@
     private final FleetRetryShare retries;
     private final ServerChooser chooser;
     private final Map<ServiceName, ServerSelector> selectors = new HashMap<>();
+    private final List<Runnable> waitingForState = new ArrayList<>();
     private RoutingConfiguration configuration;
+    private boolean serversKnown;
 
     /**
      * Creates the state of a router without a configuration.
@@ -84,6 +87,61 @@
                 registry, health, new ColdStartLimiter(self), bounds.coldOvershoot(), bounds.coldSlack());
     }
 
+    /**
+     * Begins with the belief that servers keep what their peers gave them before this router started.
+     *
+     * @param time time after which only what was heard counts
+     */
+    public void joinRunningFleet(Duration time) {
+        caches.trustHomes(true);
+        var unused = timers.after("trust in homes", time, () -> caches.trustHomes(false));
+    }
+
+    /** Notes that the registrations of servers were read for the first time. */
+    public void serversKnown() {
+        serversKnown = true;
+        runWhenKnown();
+    }
+
+    /**
+     * Tells whether a configuration and the registrations of servers are known.
+     *
+     * @return true if requests can be forwarded
+     */
+    public boolean stateKnown() {
+        return serversKnown && configuration != null;
+    }
+
+    /**
+     * Runs a task as soon as requests can be forwarded, or after a time at the latest.
+     *
+     * @param limit longest time to wait
+     * @param task task
+     */
+    void whenStateKnown(Duration limit, Runnable task) {
+        Runnable once = new Runnable() {
+            private boolean done;
+
+            @Override
+            public void run() {
+                if (!done) {
+                    done = true;
+                    task.run();
+                }
+            }
+        };
+        waitingForState.add(once);
+        var unused = timers.after("state known", limit, once);
+    }
+
+    private void runWhenKnown() {
+        if (stateKnown()) {
+            List<Runnable> tasks = List.copyOf(waitingForState);
+            waitingForState.clear();
+            tasks.forEach(Runnable::run);
+        }
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -105,6 +163,7 @@
         }
         configuration = next;
         selectors.clear();
+        runWhenKnown();
         return true;
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -46,6 +46,9 @@
     /** Time for the last bytes of answers to leave before the process ends. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
+    /** Time in which a router that joins hears of most shared parts from its peers. */
+    private static final Duration JOIN_TIME = Duration.ofSeconds(15);
+
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
     private static final Duration SWEEP = Duration.ofSeconds(1);
 
@@ -120,6 +123,9 @@
         bound.add(copies.listen(settings.host(), settings.peerPort()));
         CompletableFuture<Void> started = new CompletableFuture<>();
         eventLoop.execute(() -> {
+            if (!settings.firstStart()) {
+                forwarding.joinRunningFleet(JOIN_TIME);
+            }
             watcher.start();
             register();
             timers.every("beacon", Beacons.PERIOD, () -> beacons.send(beaconChannel));
@@ -178,7 +184,7 @@
     }
 
     private boolean ready() {
-        return !stopping && forwarding.configuration().isPresent();
+        return !stopping && forwarding.stateKnown();
     }
 
     private StatusReply readiness() {
--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -20,6 +20,7 @@
  * @param peerPort port for other routers, UDP and TCP
  * @param storeAddress IP address and port of the platform's store
  * @param seeds IP addresses and ports of some routers, which may be out of date; only the host counts
+ * @param firstStart true when the whole fleet starts for the first time, so that no server has cached anything
  * @param stopTime longest time that a planned stop may take
  * @param addressTime time for which callers may keep the addresses
  * @param bounds bounds that all routers share
@@ -35,6 +36,7 @@
         int peerPort,
         String storeAddress,
         List<String> seeds,
+        boolean firstStart,
         Duration stopTime,
         Duration addressTime,
         SharedBounds bounds) {
@@ -67,6 +69,7 @@
                 (int) root.number("peerPort", 1, MAX_PORT),
                 root.address("storeAddress"),
                 root.texts("seeds"),
+                root.flag("firstStart", false),
                 root.duration("stopTime").orElse(Duration.ofSeconds(8)),
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
                 root.object("bounds", NodeSettings::readBounds).orElseGet(NodeSettings::defaultBounds));
--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -47,6 +47,7 @@
                 Set<ServerName> gone = new HashSet<>(before);
                 gone.removeAll(forwarding.registry().servers());
                 gone.forEach(forwarding::forgetServer);
+                forwarding.serversKnown();
                 LOG.info("servers_read", "servers", entries.size(), "gone", gone.size());
             }
             case ROUTERS -> applyRouters(rows);
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -76,6 +76,7 @@
                 true,
                 new CallerLimits(8192, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
         loop.submit(() -> context.apply(configuration)).sync();
+        loop.submit(context::serversKnown).sync();
         return this;
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -92,6 +92,28 @@
         }
     }
 
+    /** Failure guarded against: callers are refused by a router that reads its first configuration a moment later. */
+    @Test
+    void requestWaitsForTheFirstConfiguration() throws Exception {
+        try (ForwardingFixture starting = new ForwardingFixture();
+                ScriptedServer server =
+                        new ScriptedServer((head, output, socket) -> output.write(signed(head, "ok")))) {
+            starting.server(server.address());
+            Thread reader = new Thread(() -> {
+                try {
+                    Thread.sleep(50);
+                    starting.configured();
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            reader.start();
+            String answer = starting.call("GET", "/safe/a", "id-1");
+            reader.join();
+            assertTrue(answer.endsWith("ok"), answer);
+        }
+    }
+
     /** Failure guarded against: requests of strangers reach servers. */
     @Test
     void unknownKeyAndUnknownRouteAreRefused() throws Exception {
