Notice a dead watch by the beacons of peers

Beacons of peers with the same old revision reset the time after which a peer that is ahead is asked for its copy. Change: the lag is kept per table, whoever sends the beacon; watches last 2.5 to 5 s, at a different moment on each router.

--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -13,6 +13,7 @@
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.peer.LagMonitor;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -37,9 +38,6 @@
     /** Time between beacons: loads are this old at most, and a dead router is noticed after four. */
     static final Duration PERIOD = Duration.ofMillis(200);
 
-    /** Time for which the own watch may lag behind a peer before the peer is asked for its copy. */
-    private static final Duration LAG = Duration.ofMillis(250);
-
     private final PeerRouter self;
     private final long incarnation;
     private final List<InetSocketAddress> seeds;
@@ -49,7 +47,7 @@
     private final TimerService timers;
     private final BooleanSupplier ready;
     private final Map<RouterId, Life> lives = new HashMap<>();
-    private final Map<WatchedTable, Long> behindSinceNanos = new EnumMap<>(WatchedTable.class);
+    private final Map<WatchedTable, LagMonitor> lags = new EnumMap<>(WatchedTable.class);
     private final Map<WatchedTable, Boolean> fetching = new EnumMap<>(WatchedTable.class);
     private long sequence;
 
@@ -171,17 +169,12 @@
     }
 
     private void compare(PeerRouter peer, WatchedTable table, long theirs) {
-        if (theirs <= watcher.mirror(table).revision()) {
-            behindSinceNanos.remove(table);
-            return;
-        }
-        long now = timers.nowNanos();
-        long since = behindSinceNanos.computeIfAbsent(table, name -> now);
-        if (now - since < LAG.toNanos() || fetching.getOrDefault(table, false)) {
-            return;
+        boolean ask = lags.computeIfAbsent(table, name -> new LagMonitor())
+                .heard(theirs, watcher.mirror(table).revision(), timers.nowNanos());
+        if (ask && !fetching.getOrDefault(table, false)) {
+            fetching.put(table, true);
+            copies.fetch(peer, table, () -> fetching.put(table, false));
         }
-        fetching.put(table, true);
-        copies.fetch(peer, table, () -> fetching.put(table, false));
     }
 
     private record Life(long incarnation, long sequence) {}
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.peer.PeerRouter;
@@ -81,6 +82,7 @@
      */
     public ForwardingNode(NodeSettings settings, NodePlatform platform) {
         this.settings = settings;
+        long incarnation = new SecureRandom().nextLong();
         this.group = ChannelUtils.eventLoops("router", 1);
         this.eventLoop = group.next();
         this.timers = new EventLoopTimers(eventLoop);
@@ -92,17 +94,11 @@
                 settings.id(), settings.zone(), timers, platform.dialect(), servers, peers, settings.bounds(), metrics);
         this.callers = new CallerConnections(eventLoop, forwarding);
         this.store = platform.store(eventLoop, settings);
-        this.watcher = new TableWatcher(store, timers, new StateApplier(forwarding, platform.decoder(), timers));
+        this.watcher = new TableWatcher(
+                store, timers, new Random(incarnation), new StateApplier(forwarding, platform.decoder(), timers));
         this.copies = new TableCopies(eventLoop, watcher);
-        this.beacons = new Beacons(
-                self,
-                new SecureRandom().nextLong(),
-                settings.seeds(),
-                forwarding,
-                watcher,
-                copies,
-                timers,
-                this::ready);
+        this.beacons =
+                new Beacons(self, incarnation, settings.seeds(), forwarding, watcher, copies, timers, this::ready);
         this.beaconChannel = new BeaconChannel(eventLoop, beacons::received);
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
 
@@ -18,8 +19,17 @@
 
     private static final EventLog LOG = EventLog.of(TableWatcher.class);
 
-    /** Time that the store holds a watch; longer watches are fewer calls, which the platform charges. */
-    private static final Duration WATCH_TIME = Duration.ofSeconds(20);
+    /**
+     * Longest time that the store holds a watch of tables with bounds on their age. A watch on a dead connection hides
+     * changes that long; since routers watch at different moments, one of them soon sees a change and tells the others.
+     */
+    private static final Duration WATCH_TIME = Duration.ofSeconds(5);
+
+    /** Part of the watch time that is random, so that routers that start together watch at different moments. */
+    private static final double WATCH_SPREAD = 0.5;
+
+    /** Time that the store holds a watch of the table of routers, which beacons keep current; saves calls. */
+    private static final Duration ROUTER_WATCH_TIME = Duration.ofSeconds(20);
 
     /** First pause after a failed call; a short glitch costs little time. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
@@ -34,6 +44,7 @@
 
     private final TableStore store;
     private final TimerService timers;
+    private final RandomGenerator random;
     private final TableListener listener;
     private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
     private int failuresInRow;
@@ -45,9 +56,11 @@
      *
      * @param store store
      * @param timers timers of the event loop
+     * @param random spreads the watches of routers
      * @param listener hears of new content
      */
-    public TableWatcher(TableStore store, TimerService timers, TableListener listener) {
+    public TableWatcher(TableStore store, TimerService timers, RandomGenerator random, TableListener listener) {
+        this.random = random;
         this.store = store;
         this.timers = timers;
         this.listener = listener;
@@ -134,8 +147,16 @@
 
         private void watch() {
             if (!stopped) {
-                store.watch(table, mirror.revision(), WATCH_TIME, this::watchDone);
+                store.watch(table, mirror.revision(), watchTime(), this::watchDone);
+            }
+        }
+
+        private Duration watchTime() {
+            if (table == WatchedTable.ROUTERS) {
+                return ROUTER_WATCH_TIME;
             }
+            double part = 1 - WATCH_SPREAD * random.nextDouble();
+            return Duration.ofMillis((long) (WATCH_TIME.toMillis() * part));
         }
 
         private void readDone(StoreReply reply) {
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Random;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +20,7 @@
     private final DrivenTimerService timers = new DrivenTimerService(0);
     private final FakeTableStore store = new FakeTableStore();
     private final List<String> heard = new ArrayList<>();
-    private final TableWatcher watcher = new TableWatcher(store, timers, new Recorder());
+    private final TableWatcher watcher = new TableWatcher(store, timers, new Random(1), new Recorder());
 
     @Test
     void tableIsReadAndThenWatchedFromTheRevisionOfTheRead() {
