--- a/cli/src/main/java/org/coltsfootquay/cli/CheckConfigCommand.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/CheckConfigCommand.java
@@ -4,6 +4,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.coltsfootquay.decision.configuration.FleetConfiguration;
+import org.coltsfootquay.router.node.NodeSettings;
 import org.coltsfootquay.router.settings.FleetConfigurationReader;
 import org.coltsfootquay.router.settings.RouterSettings;
 import org.coltsfootquay.settings.SettingsException;
@@ -29,14 +30,19 @@
 
     @Override
     public Options options() {
-        return new Options().addOption(null, "router", false, "the file contains the settings of a router");
+        return new Options()
+                .addOption(null, "router", false, "the file contains the settings of a router")
+                .addOption(null, "node", false, "the file contains the settings of a router that forwards directly");
     }
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException {
         Path file = Path.of(CommandUtils.argument(line, 0, "FILE"));
         try {
-            if (line.hasOption("router")) {
+            if (line.hasOption("node")) {
+                NodeSettings settings = SettingsReader.readFile(file, NodeSettings::read);
+                console.print(file + ": correct settings of forwarding router " + settings.id());
+            } else if (line.hasOption("router")) {
                 RouterSettings settings = SettingsReader.readFile(file, RouterSettings::read);
                 console.print(file + ": correct settings of router " + settings.id());
             } else {
--- a/cli/src/main/java/org/coltsfootquay/cli/Main.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/Main.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.cli.capacity.CapacityCommand;
+import org.coltsfootquay.cli.explain.ExplainCommand;
 import org.coltsfootquay.cli.load.LoadCommand;
 import org.coltsfootquay.cli.measure.MeasureCommand;
 import org.coltsfootquay.cli.operator.AddressesCommand;
@@ -41,6 +42,7 @@
                 LeaveReturnCommand.server(),
                 new AddressesCommand(),
                 new TimelineCommand(),
+                new ExplainCommand(),
                 new SoakCommand());
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/log/EventLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/log/EventLog.java
@@ -13,8 +13,8 @@
  */
 public final class EventLog {
 
-    /** Lines of one event name that pass each second. */
-    private static final int LINES_PER_SECOND = 20;
+    /** Lines of one event name that pass each second: several times the usual requests of one router. */
+    private static final int LINES_PER_SECOND = 60;
 
     private static final long SECOND_NANOS = 1_000_000_000L;
 
