--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -21,11 +21,24 @@
  */
 public final class PeerTable {
 
-    /** A peer that was not heard for this long gets no callers: four beacons of 200 ms lost in a row. */
-    public static final Duration SILENCE = Duration.ofMillis(900);
+    /** Shortest time between two beacons of a router: loads are this old at most. */
+    public static final Duration SHORTEST_PERIOD = Duration.ofMillis(200);
+
+    /** Longest time between two beacons, which bounds how long a dead router gets callers in a large fleet. */
+    public static final Duration LONGEST_PERIOD = Duration.ofSeconds(1);
+
+    /** Routers up to which beacons have the shortest period; a larger fleet sends less often, to bound its cost. */
+    private static final int SMALL_FLEET = 16;
+
+    /** Periods without a beacon after which a peer gets no callers: four beacons were lost in a row. */
+    private static final double SILENT_PERIODS = 4.5;
+
+    /** Time after which the registration of a router that nobody hears is removed; longer than any repair takes. */
+    private static final Duration FORGET_AFTER = Duration.ofMinutes(10);
 
     private final PeerRouter self;
     private final Map<RouterId, PeerRouter> registered = new TreeMap<>();
+    private final Map<RouterId, Long> unheardSinceNanos = new HashMap<>();
     private final Map<RouterId, Heard> heard = new HashMap<>();
 
     /**
@@ -61,6 +74,45 @@
         }
     }
 
+    /**
+     * Returns the time between two beacons of one router.
+     *
+     * @return period, which grows with the number of routers
+     */
+    public Duration beaconPeriod() {
+        long millis = SHORTEST_PERIOD.toMillis() * members().size() / SMALL_FLEET;
+        return Duration.ofMillis(Math.min(LONGEST_PERIOD.toMillis(), Math.max(SHORTEST_PERIOD.toMillis(), millis)));
+    }
+
+    /**
+     * Returns the time after which a peer that was not heard gets no callers.
+     *
+     * @return time
+     */
+    public Duration silence() {
+        return Duration.ofMillis((long) (beaconPeriod().toMillis() * SILENT_PERIODS));
+    }
+
+    /**
+     * Returns the registered routers that were not heard for long, if this router is the one to remove them.
+     *
+     * @param nowNanos current time
+     * @return routers to remove from the store; empty unless this router is the first of those that are heard
+     */
+    public List<RouterId> abandoned(long nowNanos) {
+        unheardSinceNanos.keySet().retainAll(registered.keySet());
+        unheardSinceNanos.keySet().removeAll(heard.keySet());
+        List<RouterId> abandoned = new ArrayList<>();
+        for (RouterId router : registered.keySet()) {
+            if (!heard.containsKey(router)
+                    && nowNanos - unheardSinceNanos.computeIfAbsent(router, id -> nowNanos) >= FORGET_AFTER.toNanos()) {
+                abandoned.add(router);
+            }
+        }
+        boolean first = heard.keySet().stream().allMatch(router -> self.id().compareTo(router) < 0);
+        return first ? abandoned : List.of();
+    }
+
     /**
      * Returns the peers that beacons are sent to.
      *
@@ -93,7 +145,7 @@
     public List<RouterId> dropSilent(long nowNanos) {
         List<RouterId> silent = new ArrayList<>();
         heard.values().removeIf(entry -> {
-            boolean gone = nowNanos - entry.atNanos > SILENCE.toNanos();
+            boolean gone = nowNanos - entry.atNanos > silence().toNanos();
             if (gone) {
                 silent.add(entry.peer.id());
             }
@@ -119,7 +171,7 @@
             ready.add(self);
         }
         for (Heard entry : heard.values()) {
-            if (entry.ready && nowNanos - entry.atNanos <= SILENCE.toNanos()) {
+            if (entry.ready && nowNanos - entry.atNanos <= silence().toNanos()) {
                 ready.add(entry.peer);
             }
         }
--- a/decision/src/test/java/org/coltsfootquay/decision/peer/PeerTableTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/peer/PeerTableTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
@@ -14,7 +15,7 @@
 
     private static final ZoneName HERE = new ZoneName("here");
     private static final ZoneName THERE = new ZoneName("there");
-    private static final long SILENCE = PeerTable.SILENCE.toNanos();
+    private static final long SILENCE = Duration.ofMillis(900).toNanos();
 
     private final PeerTable table = new PeerTable(router("r1", HERE));
 
@@ -75,6 +76,34 @@
         assertTrue(table.dropSilent(SILENCE + 2).isEmpty());
     }
 
+    @Test
+    void beaconsOfALargeFleetAreRarer() {
+        assertEquals(Duration.ofMillis(200), table.beaconPeriod());
+        List<PeerRouter> fleet = new ArrayList<>();
+        for (int i = 0; i < 79; i++) {
+            fleet.add(router("p" + i, THERE));
+        }
+        table.register(fleet);
+        assertEquals(Duration.ofSeconds(1), table.beaconPeriod());
+    }
+
+    @Test
+    void registrationOfARouterThatNobodyHearsIsRemovedAfterLong() {
+        table.register(List.of(router("r2", HERE)));
+        assertTrue(table.abandoned(0).isEmpty());
+        assertEquals(
+                List.of(new RouterId("r2")),
+                table.abandoned(Duration.ofMinutes(10).toNanos()));
+    }
+
+    @Test
+    void onlyTheFirstRouterRemovesRegistrations() {
+        table.register(List.of(router("r2", HERE)));
+        table.abandoned(0);
+        table.heard(router("r0", HERE), true, 0);
+        assertTrue(table.abandoned(Duration.ofMinutes(10).toNanos()).isEmpty());
+    }
+
     private static PeerRouter router(String id, ZoneName zone) {
         return new PeerRouter(new RouterId(id), zone, "10.0.0.1", 7400, id + ":80");
     }
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -1,7 +1,6 @@
 package org.coltsfootquay.router.node;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -35,9 +34,6 @@
 
     private static final EventLog LOG = EventLog.of(Beacons.class);
 
-    /** Time between beacons: loads are this old at most, and a dead router is noticed after four. */
-    static final Duration PERIOD = Duration.ofMillis(200);
-
     private final PeerRouter self;
     private final long incarnation;
     private final List<InetSocketAddress> seeds;
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.peer.PeerTable;
@@ -73,6 +74,7 @@
     private final BeaconChannel beaconChannel;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
+    private boolean registered;
 
     /**
      * Puts a router together.
@@ -95,7 +97,10 @@
         this.callers = new CallerConnections(eventLoop, forwarding);
         this.store = platform.store(eventLoop, settings);
         this.watcher = new TableWatcher(
-                store, timers, new Random(incarnation), new StateApplier(forwarding, platform.decoder(), timers));
+                store,
+                timers,
+                new Random(incarnation),
+                new StateApplier(forwarding, platform.decoder(), timers, settings.id(), this::registrationMissing));
         this.copies = new TableCopies(eventLoop, watcher);
         this.beacons =
                 new Beacons(self, incarnation, settings.seeds(), forwarding, watcher, copies, timers, this::ready);
@@ -124,7 +129,7 @@
             }
             watcher.start();
             register();
-            timers.every("beacon", Beacons.PERIOD, () -> beacons.send(beaconChannel));
+            sendBeacon();
             timers.every("sweep", SWEEP, this::sweep);
         });
         int[] left = {bound.size()};
@@ -215,6 +220,7 @@
         }
         store.putRouter(settings.id().value(), PeerRows.card(self).build().toByteArray(), reply -> {
             if (reply instanceof StoreReply.Rows) {
+                registered = true;
                 LOG.info("router_registered", "router", settings.id());
             } else {
                 timers.after("register", REGISTER_PAUSE, this::register);
@@ -222,7 +228,28 @@
         });
     }
 
+    private void sendBeacon() {
+        beacons.send(beaconChannel);
+        timers.after("beacon", peers.beaconPeriod(), this::sendBeacon);
+    }
+
+    /** Registers again when another router removed the row of this one, which it had not heard for long. */
+    private void registrationMissing() {
+        if (registered) {
+            registered = false;
+            register();
+        }
+    }
+
     private void sweep() {
+        for (RouterId gone : peers.abandoned(timers.nowNanos())) {
+            LOG.info("router_row_removed", "router", gone);
+            store.removeRouter(gone.value(), reply -> {
+                if (!(reply instanceof StoreReply.Rows)) {
+                    LOG.info("router_row_kept", "router", gone);
+                }
+            });
+        }
         callers.closeIdle();
         servers.closeExpired();
     }
--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.backend.BackendRegistry;
+import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.timer.TimerService;
@@ -25,9 +26,18 @@
     private final ForwardingContext forwarding;
     private final StateDecoder decoder;
     private final TimerService timers;
+    private final RouterId self;
+    private final Runnable selfMissing;
     private Set<ZoneName> evacuated = Set.of();
 
-    StateApplier(ForwardingContext forwarding, StateDecoder decoder, TimerService timers) {
+    StateApplier(
+            ForwardingContext forwarding,
+            StateDecoder decoder,
+            TimerService timers,
+            RouterId self,
+            Runnable selfMissing) {
+        this.self = self;
+        this.selfMissing = selfMissing;
         this.forwarding = forwarding;
         this.decoder = decoder;
         this.timers = timers;
@@ -119,6 +129,9 @@
     }
 
     private void applyRouters(Collection<TableRow> rows) {
+        if (rows.stream().noneMatch(row -> row.key().equals(self.value()))) {
+            selfMissing.run();
+        }
         forwarding
                 .peers()
                 .register(rows.stream()
