--- a/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
@@ -13,10 +13,11 @@
      * @param workspace workspace
      * @param tokens size of the request
      * @param demands demands of all workspaces on the service, this request included in what was asked
-     * @param expected expected time to the first event
+     * @param queue time for which the request waits for others; its own size does not count, so that large requests
+     *     are not refused more than small ones
      * @param target time to the first event that the route promises
      * @return true if the request should be sent
      */
     boolean admits(
-            WorkspaceId workspace, double tokens, Map<WorkspaceId, Demand> demands, Duration expected, Duration target);
+            WorkspaceId workspace, double tokens, Map<WorkspaceId, Demand> demands, Duration queue, Duration target);
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/Candidate.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/Candidate.java
@@ -9,5 +9,6 @@
  * @param entry server
  * @param newTokens prompt tokens that it has to read
  * @param expected expected time to the first event or to the answer
+ * @param queue part of that time which the request would wait whatever its own size
  */
-public record Candidate(BackendEntry entry, long newTokens, Duration expected) {}
+public record Candidate(BackendEntry entry, long newTokens, Duration expected, Duration queue) {}
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/LeastLoadedSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/LeastLoadedSelector.java
@@ -58,6 +58,6 @@
                 bestCost = cost;
             }
         }
-        return Optional.ofNullable(best).map(entry -> new Candidate(entry, 0, Duration.ZERO));
+        return Optional.ofNullable(best).map(entry -> new Candidate(entry, 0, Duration.ZERO, Duration.ZERO));
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -31,7 +31,7 @@
      * Weight of reading a shared part, beside the time it takes: it delays later requests and drives other parts
      * out of the cache.
      */
-    private static final double MISS_WEIGHT = 2;
+    private static final double MISS_WEIGHT = 6;
 
     /** Cost of an engine that is not the home of the shared part, milliseconds; decides where a new part is read. */
     private static final double OTHER_HOME_MILLIS = 40;
@@ -100,7 +100,12 @@
         if (best == null) {
             return Optional.empty();
         }
-        return Optional.of(new Candidate(best, bestTokens, Duration.ofMillis((long) bestMillis)));
+        return Optional.of(new Candidate(best, bestTokens, Duration.ofMillis((long) bestMillis), queue(best.server())));
+    }
+
+    private Duration queue(ServerName server) {
+        return Duration.ofMillis(
+                (long) (FIRST_TOKEN_MILLIS + loads.total(server).unreadTokens() / READ_TOKENS_PER_MILLI));
     }
 
     private double expectedMillis(BackendEntry entry, long newTokens, Prompt prompt) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
@@ -154,7 +154,7 @@
         }
         candidate = choice.get();
         if (!streaming && !mayHaveRun && !admitted()) {
-            giveUp("no_room", RetryAfter.afterWait(candidate.expected(), route.target()));
+            giveUp("no_room", RetryAfter.afterWait(candidate.queue(), route.target()));
             return;
         }
         charge();
@@ -176,7 +176,7 @@
                         workspace.orElse(NO_WORKSPACE),
                         size(),
                         context.demands().total(service.name(), now()),
-                        candidate.expected().plusNanos(waited),
+                        candidate.queue().plusNanos(waited),
                         route.target());
         if (!admits) {
             LOG.info(
