--- a/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.junit.jupiter.api.Test;
 
@@ -68,8 +69,7 @@
 
     private static Map<WorkspaceId, Double> replayFlood(AdmissionPolicy rule) {
         DemandBoard board = new DemandBoard(0);
-        org.coltsfootquay.decision.common.ServiceName service =
-                new org.coltsfootquay.decision.common.ServiceName("service");
+        ServiceName service = new ServiceName("service");
         List<WorkspaceId> workspaces = List.of(
                 LARGE,
                 LARGE,
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -52,7 +53,7 @@
     private ChannelHandlerContext channel;
     private HttpRequest head;
     private ByteArrayOutputStream body;
-    private ForwardedRequest current;
+    private RequestRelay current;
     private boolean busy;
     private boolean keepAlive;
     private boolean refused;
@@ -240,7 +241,7 @@
         }
         Access.Allowed allowed = (Access.Allowed) access;
         Optional<ServicePolicy> service =
-                configuration.get().service(allowed.route().serviceFor(ForwardedRequest.hashOf(facts)));
+                configuration.get().service(allowed.route().serviceFor(RequestRelay.hashOf(facts)));
         if (service.isEmpty()) {
             refuse(
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -249,7 +250,7 @@
                     Optional.of(RetryAfter.NO_SERVER));
             return;
         }
-        current = new ForwardedRequest(
+        current = new RequestRelay(
                 forwarding, this, request, facts, allowed.route(), allowed.workspace(), service.get(), now);
         current.start();
     }
@@ -338,8 +339,8 @@
         }
         CallerRequestBytes next = waiting.poll();
         if (next != null) {
-            HttpRequest nextHead = new io.netty.handler.codec.http.DefaultHttpRequest(
-                    HttpVersion.HTTP_1_1, next.method(), next.uri(), next.headers());
+            HttpRequest nextHead =
+                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, next.method(), next.uri(), next.headers());
             begin(next, nextHead, HttpUtil.isKeepAlive(nextHead));
         }
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardedRequest.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -31,9 +31,9 @@
  * <p>A request whose bytes may have reached a server is sent again only if the route allows it or the server said that
  * it did not run the request. A refusal with status 429 or 503 is sent only while neither can have happened.
  */
-final class ForwardedRequest implements ServerAnswerListener {
+final class RequestRelay implements ServerAnswerListener {
 
-    private static final EventLog LOG = EventLog.of(ForwardedRequest.class);
+    private static final EventLog LOG = EventLog.of(RequestRelay.class);
 
     /** Time before the end of a request's time at which it gets its final answer: transit to the caller. */
     private static final Duration FINAL_MARGIN = Duration.ofMillis(40);
@@ -87,7 +87,7 @@
     private boolean done;
     private long firstEventNanos;
 
-    ForwardedRequest(
+    RequestRelay(
             ForwardingContext context,
             CallerExchange caller,
             CallerRequestBytes request,
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -27,6 +27,7 @@
 import org.coltsfootquay.router.state.StoreReply;
 import org.coltsfootquay.router.state.TableStore;
 import org.coltsfootquay.router.state.TableWatcher;
+import org.coltsfootquay.router.status.StatusPage;
 import org.coltsfootquay.router.status.StatusReply;
 import org.coltsfootquay.router.status.StatusServer;
 
@@ -209,7 +210,7 @@
         return StatusReply.ok("text/plain; version=0.0.4", metrics.prometheusText());
     }
 
-    private ChannelFuture listen(String address, Map<String, org.coltsfootquay.router.status.StatusPage> pages) {
+    private ChannelFuture listen(String address, Map<String, StatusPage> pages) {
         InetSocketAddress socket = ChannelUtils.parseAddress(address);
         return new StatusServer(eventLoop, pages).listen(socket.getHostString(), socket.getPort());
     }
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.router.backend.ScriptedServer;
@@ -88,7 +89,7 @@
         try (ForwardingFixture empty = new ForwardingFixture()) {
             String answer = empty.call("GET", "/safe/a", "id-1");
             assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
-            assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("retry-after: 0."), answer);
+            assertTrue(answer.toLowerCase(Locale.ROOT).contains("retry-after: 0."), answer);
         }
     }
 
