Answer 503 with a time to return when every server that was asked did not run the request

Cause: only the first refusal of a server was counted, so a request that two servers refused got 502, which promises nothing. Test first; seen red.

--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -82,7 +82,9 @@
     private EventSplitter events;
     private int connectFailures;
     private int sends;
-    private boolean mayHaveRun;
+    /** Sends of which no server said that it did not run them. */
+    private int unresolvedSends;
+
     private boolean streaming;
     private boolean done;
     private long firstEventNanos;
@@ -153,7 +155,7 @@
             return;
         }
         candidate = choice.get();
-        if (!streaming && !mayHaveRun && !admitted()) {
+        if (!streaming && !mayHaveRun() && !admitted()) {
             giveUp("no_room", RetryAfter.afterWait(candidate.queue(), route.target()));
             return;
         }
@@ -237,7 +239,7 @@
         }
         connection = ready;
         sends++;
-        mayHaveRun = true;
+        unresolvedSends++;
         tried.add(target.server());
         answerHead = null;
         Duration remaining = Duration.ofNanos(Math.max(1, expiresNanos - now));
@@ -377,9 +379,7 @@
 
     private void notExecuted(ServerName server, HttpResponseStatus status) {
         discharge();
-        if (sends == 1) {
-            mayHaveRun = false;
-        }
+        unresolvedSends--;
         context.metrics().count("coltsfootquay_server_refusals_total");
         LOG.info("server_refused", "request", facts.requestId(), "server", server, "status", status.code());
         if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
@@ -399,6 +399,10 @@
         }
     }
 
+    private boolean mayHaveRun() {
+        return unresolvedSends > 0;
+    }
+
     private boolean mayRepeat() {
         return route.repeatable()
                 && sends < route.maxAttempts()
@@ -429,7 +433,7 @@
         }
         if (streaming) {
             breakStream("timeout");
-        } else if (mayHaveRun) {
+        } else if (mayHaveRun()) {
             reply(HttpResponseStatus.GATEWAY_TIMEOUT, Optional.empty(), "timeout");
         } else {
             reply(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(RetryAfter.OVERLOAD), "timeout");
@@ -439,7 +443,7 @@
     private void giveUp(String reason, Duration retryAfter) {
         if (streaming) {
             breakStream(reason);
-        } else if (mayHaveRun) {
+        } else if (mayHaveRun()) {
             reply(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), reason);
         } else {
             reply(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(retryAfter), reason);
@@ -449,7 +453,7 @@
     private void reply(HttpResponseStatus status, Optional<Duration> retryAfter, String reason) {
         HttpHeaders replyHeaders = new DefaultHttpHeaders();
         retryAfter.ifPresent(after -> RetryAfter.set(replyHeaders, after));
-        caller.answer(status, replyHeaders, RefusalBody.of(reason, !mayHaveRun));
+        caller.answer(status, replyHeaders, RefusalBody.of(reason, !mayHaveRun()));
         finish(reason, status.code());
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -166,6 +166,16 @@
         }
     }
 
+    /** Failure guarded against: a caller whose request did not run anywhere is not told when to return. */
+    @Test
+    void refusalOfAllServersIsPassedOnAsNotRun() throws Exception {
+        serve((head, output, socket) -> output.write(answer(head, 503, "X-Not-Run: 1\r\n", "")));
+        serve((head, output, socket) -> output.write(answer(head, 503, "X-Not-Run: 1\r\n", "")));
+        String answer = fixture.call("POST", "/once/a", "id-1");
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.toLowerCase(Locale.ROOT).contains("retry-after: "), answer);
+    }
+
     /** Failure guarded against: a success that no server signed. */
     @Test
     void unsignedSuccessIsNotPassedOn() throws Exception {
