--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -43,9 +43,23 @@
 
     private static final int MAX_PORT = 65535;
 
+    /** Time from the signal to stop until the process is killed, on a platform that states none. */
+    private static final Duration DEFAULT_STOP_TIME = Duration.ofSeconds(8);
+
     /** Time for which callers keep addresses: short, since a killed router is noticed within a second. */
     private static final Duration DEFAULT_ADDRESS_TIME = Duration.ofSeconds(1);
 
+    /** Repeats for each request; a common share that keeps a failing server from doubling the load. */
+    private static final double DEFAULT_RETRY_RATIO = 0.1;
+
+    /** Repeats in a window beside the ratio, so that a fleet with little traffic can repeat at all. */
+    private static final double DEFAULT_RETRY_ALLOWANCE = 10;
+
+    private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
+
+    /** Factor on the rate that a cold server states: the rate itself is the bound. */
+    private static final double DEFAULT_COLD_OVERSHOOT = 1;
+
     /** Copies the list. */
     public NodeSettings {
         seeds = List.copyOf(seeds);
@@ -70,7 +84,7 @@
                 root.address("storeAddress"),
                 root.texts("seeds"),
                 root.flag("firstStart", false),
-                root.duration("stopTime").orElse(Duration.ofSeconds(8)),
+                root.duration("stopTime").orElse(DEFAULT_STOP_TIME),
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
                 root.object("bounds", NodeSettings::readBounds).orElseGet(NodeSettings::defaultBounds));
     }
@@ -87,6 +101,7 @@
 
     /** Bounds for a platform that states none: repeats for a tenth of the requests, no request above a cold rate. */
     private static SharedBounds defaultBounds() {
-        return new SharedBounds(0.1, 10, Duration.ofSeconds(10), 1.0, 0);
+        return new SharedBounds(
+                DEFAULT_RETRY_RATIO, DEFAULT_RETRY_ALLOWANCE, DEFAULT_RETRY_WINDOW, DEFAULT_COLD_OVERSHOOT, 0);
     }
 }
