--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -24,7 +24,7 @@
     /** Time from the end of reading to the first token, milliseconds; source: the engines' data sheet. */
     private static final double FIRST_TOKEN_MILLIS = 61;
 
-    /** Time that each running request adds to the wait for the first token, milliseconds; measured. */
+    /** Time that each running request adds to the wait for the first token, milliseconds; an estimate, not measured. */
     private static final double RUNNING_REQUEST_MILLIS = 1.5;
 
     /**
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -187,6 +187,8 @@
                     facts.requestId(),
                     "server",
                     candidate.entry().server(),
+                    "queueMs",
+                    candidate.queue().toMillis(),
                     "expectedMs",
                     candidate.expected().toMillis(),
                     "targetMs",
--- a/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
@@ -26,16 +26,16 @@
     /** Part of a time that is random, so that callers refused together do not return together. */
     private static final double SPREAD = 0.4;
 
-    /** Part of the target up to which the expected wait should have fallen when the caller returns. */
+    /** Part of the target up to which the queue should have fallen when the caller returns. */
     private static final double ROOM = 0.4;
 
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     private RetryAfter() {}
 
-    /** Returns the time in which an expected wait falls below a part of the target, spread at random. */
-    static Duration afterWait(Duration expected, Duration target) {
-        double millis = expected.toMillis() - ROOM * target.toMillis();
+    /** Returns the time in which a queue falls below a part of the target, spread at random. */
+    static Duration afterWait(Duration queue, Duration target) {
+        double millis = queue.toMillis() - ROOM * target.toMillis();
         double spread = 1 + SPREAD * (ThreadLocalRandom.current().nextDouble() - 0.5);
         return Duration.ofMillis((long) Math.min(LONGEST_MILLIS, Math.max(SHORTEST_MILLIS, millis) * spread));
     }
