Take no router for the only one of its region against reports of others

It counted one row, took itself for the only router and kept the whole of its servers for the outage, while another router reached the store and claimed half of one. Ruled out: a stale report (the last one named three routers and was not looked at).

Change: a router is alone only if no report names others.

Before: RandomFaultRunTest.routerThatHeardOfOthersDoesNotTakeItselfForTheOnlyOne failed with 'shares exceed 1, server=s0, shares={r0=0.5, r4=1.0}'.

--- a/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/ownership/ShareRule.java
@@ -59,7 +59,7 @@
         RegionStoreReport report = blackboard.read(RegionStoreReport.TOPIC);
         boolean fresh = now - report.asOfNanos() < reportAge.toNanos();
         boolean all = report.routersWithoutStore() == report.routers() && report.withoutStoreDigest() == digest;
-        return known.size() == 1 || (fresh && all && report.lastSettledNanos() <= expiryNanos);
+        return alone(known) || (fresh && all && report.lastSettledNanos() <= expiryNanos);
     }
 
     /** Returns the routers of the region that have a row, also those whose row was found expired. */
@@ -70,9 +70,17 @@
                 .toList();
     }
 
+    /**
+     * Tells whether this router surely is the only one of its region. A copy of the rows made before the others joined
+     * names this router only, while their reports have already arrived over the aggregation tree.
+     */
+    private boolean alone(List<Member> known) {
+        return known.size() <= 1 && blackboard.read(RegionStoreReport.TOPIC).routers() <= 1;
+    }
+
     /** Returns until when a confirmed outage may be relied on without a newer report. */
     long reportEndNanos() {
-        return knownRouters().size() <= 1
+        return alone(knownRouters())
                 ? Long.MAX_VALUE
                 : blackboard.read(RegionStoreReport.TOPIC).asOfNanos() + reportAge.toNanos();
     }
