Keep the work for a request independent of the number of routers

Cause: each request added up the loads of all peers for each server and the demand of all workspaces over all peers, and built the list of routers anew; with 61 routers and 63 servers that is thousands of map lookups a request.

Change: loads are summed when they change, demand of peers once after a report and only if it decides, the list of routers when it changes; homes compare mixed hashes of the names.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/DemandBoard.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/DemandBoard.java
@@ -23,6 +23,10 @@
 
     private final Map<ServiceName, Map<WorkspaceId, Demand>> own = new HashMap<>();
     private final Map<RouterId, Map<ServiceName, Map<WorkspaceId, Demand>>> peers = new HashMap<>();
+
+    /** Sums over the peers by service; computed when they are read after a new report. */
+    private final Map<ServiceName, Map<WorkspaceId, Demand>> peerTotals = new HashMap<>();
+
     private long decayedNanos;
 
     /**
@@ -68,6 +72,7 @@
      */
     public void report(RouterId peer, Map<ServiceName, Map<WorkspaceId, Demand>> demands) {
         peers.put(peer, demands);
+        peerTotals.clear();
     }
 
     /**
@@ -77,6 +82,7 @@
      */
     public void forget(RouterId peer) {
         peers.remove(peer);
+        peerTotals.clear();
     }
 
     /**
@@ -99,7 +105,14 @@
      */
     public Map<WorkspaceId, Demand> total(ServiceName service, long nowNanos) {
         decay(nowNanos);
-        Map<WorkspaceId, Demand> total = new HashMap<>(own.getOrDefault(service, Map.of()));
+        Map<WorkspaceId, Demand> total = new HashMap<>(peerTotals.computeIfAbsent(service, this::peerTotal));
+        own.getOrDefault(service, Map.of())
+                .forEach((workspace, demand) -> total.merge(workspace, demand, Demand::plus));
+        return total;
+    }
+
+    private Map<WorkspaceId, Demand> peerTotal(ServiceName service) {
+        Map<WorkspaceId, Demand> total = new HashMap<>();
         for (Map<ServiceName, Map<WorkspaceId, Demand>> report : peers.values()) {
             report.getOrDefault(service, Map.of())
                     .forEach((workspace, demand) -> total.merge(workspace, demand, Demand::plus));
--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.coltsfootquay.decision.common.WorkspaceId;
 
 /**
@@ -32,7 +33,11 @@
 
     @Override
     public boolean admits(
-            WorkspaceId workspace, double tokens, Map<WorkspaceId, Demand> demands, Duration queue, Duration target) {
+            WorkspaceId workspace,
+            double tokens,
+            Supplier<Map<WorkspaceId, Demand>> demands,
+            Duration queue,
+            Duration target) {
         double wait = (double) queue.toNanos() / target.toNanos();
         if (wait <= CONTENDED) {
             return true;
@@ -40,8 +45,9 @@
         if (wait > FULL) {
             return false;
         }
-        double level = DemandBoard.fairLevel(demands.values());
-        double sent = demands.getOrDefault(workspace, Demand.NONE).sent();
+        Map<WorkspaceId, Demand> all = demands.get();
+        double level = DemandBoard.fairLevel(all.values());
+        double sent = all.getOrDefault(workspace, Demand.NONE).sent();
         return sent <= level * TOLERANCE;
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/backend/BackendRegistry.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/backend/BackendRegistry.java
@@ -34,6 +34,7 @@
     private boolean storeAway;
     private long storeAwaySinceNanos;
     private long graceUntilNanos = Long.MIN_VALUE;
+    private boolean anyLapsed;
 
     /** Creates an empty registry. */
     public BackendRegistry() {
@@ -95,6 +96,7 @@
         }
         if (storeAway || nowNanos < graceUntilNanos) {
             entry.lapsed = true;
+            anyLapsed = true;
         } else {
             tracked.remove(server);
         }
@@ -185,9 +187,10 @@
     }
 
     private void dropLapsed(long nowNanos) {
-        if (storeAway || nowNanos < graceUntilNanos) {
+        if (!anyLapsed || storeAway || nowNanos < graceUntilNanos) {
             return;
         }
+        anyLapsed = false;
         Iterator<Tracked> entries = tracked.values().iterator();
         while (entries.hasNext()) {
             if (entries.next().lapsed) {
--- a/decision/src/main/java/org/coltsfootquay/decision/common/HashUtils.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/common/HashUtils.java
@@ -22,6 +22,17 @@
             }
             hash = (hash ^ 0xffff) * FNV_PRIME;
         }
+        return mix(hash);
+    }
+
+    /**
+     * Spreads the bits of a number over all bits of the result.
+     *
+     * @param bits number
+     * @return hash
+     */
+    public static long mix(long bits) {
+        long hash = bits;
         hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
         hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
         return hash ^ (hash >>> 33);
--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -41,6 +41,9 @@
     private final Map<RouterId, Long> unheardSinceNanos = new HashMap<>();
     private final Map<RouterId, Heard> heard = new HashMap<>();
 
+    /** All routers that may be sending; null after a change until it is read. */
+    private List<RouterId> members;
+
     /**
      * Creates a table.
      *
@@ -59,6 +62,7 @@
         registered.clear();
         routers.forEach(router -> registered.put(router.id(), router));
         registered.remove(self.id());
+        members = null;
     }
 
     /**
@@ -70,7 +74,9 @@
      */
     public void heard(PeerRouter peer, boolean ready, long nowNanos) {
         if (!peer.id().equals(self.id())) {
-            heard.put(peer.id(), new Heard(peer, ready, nowNanos));
+            if (heard.put(peer.id(), new Heard(peer, ready, nowNanos)) == null) {
+                members = null;
+            }
         }
     }
 
@@ -130,10 +136,13 @@
      * @return identifiers, this router included, in order
      */
     public List<RouterId> members() {
-        Set<RouterId> members = new TreeSet<>(registered.keySet());
-        members.addAll(heard.keySet());
-        members.add(self.id());
-        return List.copyOf(members);
+        if (members == null) {
+            Set<RouterId> all = new TreeSet<>(registered.keySet());
+            all.addAll(heard.keySet());
+            all.add(self.id());
+            members = List.copyOf(all);
+        }
+        return members;
     }
 
     /**
@@ -151,6 +160,9 @@
             }
             return gone;
         });
+        if (!silent.isEmpty()) {
+            members = null;
+        }
         return silent;
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/LoadBoard.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/LoadBoard.java
@@ -17,6 +17,9 @@
     private final Map<ServerName, ServerLoad> own = new HashMap<>();
     private final Map<RouterId, Map<ServerName, ServerLoad>> peers = new HashMap<>();
 
+    /** Sums over all routers, kept up to date since each request reads those of all servers. */
+    private final Map<ServerName, ServerLoad> totals = new HashMap<>();
+
     /** Creates an empty board. */
     public LoadBoard() {
         // Loads appear with the first request or report.
@@ -29,12 +32,8 @@
      * @param change change, with negative values for work that ended
      */
     public void change(ServerName server, ServerLoad change) {
-        ServerLoad sum = own.getOrDefault(server, ServerLoad.NONE).plus(change);
-        if (sum.equals(ServerLoad.NONE)) {
-            own.remove(server);
-        } else {
-            own.put(server, sum);
-        }
+        add(own, server, change);
+        add(totals, server, change);
     }
 
     /**
@@ -44,7 +43,10 @@
      * @param loads loads by server
      */
     public void report(RouterId peer, Map<ServerName, ServerLoad> loads) {
-        peers.put(peer, Map.copyOf(loads));
+        forget(peer);
+        Map<ServerName, ServerLoad> report = Map.copyOf(loads);
+        peers.put(peer, report);
+        report.forEach((server, load) -> add(totals, server, load));
     }
 
     /**
@@ -53,7 +55,10 @@
      * @param peer peer
      */
     public void forget(RouterId peer) {
-        peers.remove(peer);
+        Map<ServerName, ServerLoad> report = peers.remove(peer);
+        if (report != null) {
+            report.forEach((server, load) -> add(totals, server, load.negated()));
+        }
     }
 
     /**
@@ -82,13 +87,15 @@
      * @return load
      */
     public ServerLoad total(ServerName server) {
-        ServerLoad sum = own(server);
-        for (Map<ServerName, ServerLoad> loads : peers.values()) {
-            ServerLoad load = loads.get(server);
-            if (load != null) {
-                sum = sum.plus(load);
-            }
+        return totals.getOrDefault(server, ServerLoad.NONE);
+    }
+
+    private static void add(Map<ServerName, ServerLoad> loads, ServerName server, ServerLoad change) {
+        ServerLoad sum = loads.getOrDefault(server, ServerLoad.NONE).plus(change);
+        if (sum.equals(ServerLoad.NONE)) {
+            loads.remove(server);
+        } else {
+            loads.put(server, sum);
         }
-        return sum;
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -1,7 +1,9 @@
 package org.coltsfootquay.decision.selection;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.ArgumentUtils;
@@ -54,6 +56,9 @@
     private final ServerHealth health;
     private final long memoryTokens;
 
+    /** Hashes of server names, which every request compares; kept as long as this selector. */
+    private final Map<ServerName, Long> serverHashes = new HashMap<>();
+
     /**
      * Creates a selector.
      *
@@ -119,12 +124,12 @@
     }
 
     /** Returns the engine that all routers prefer for a shared part. */
-    private static ServerName home(List<BackendEntry> candidates, long key) {
+    private ServerName home(List<BackendEntry> candidates, long key) {
         ServerName home = null;
         long highest = Long.MIN_VALUE;
-        String text = Long.toHexString(key);
         for (BackendEntry entry : candidates) {
-            long weight = HashUtils.hash(text, entry.server().value());
+            long server = serverHashes.computeIfAbsent(entry.server(), name -> HashUtils.hash(name.value()));
+            long weight = HashUtils.mix(key ^ server);
             if (home == null || weight > highest) {
                 home = entry.server();
                 highest = weight;
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/ServerLoad.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/ServerLoad.java
@@ -22,4 +22,13 @@
         return new ServerLoad(
                 requests + other.requests, unreadTokens + other.unreadTokens, heldTokens + other.heldTokens);
     }
+
+    /**
+     * Returns the change that takes this work off a sum.
+     *
+     * @return work with the opposite sign
+     */
+    public ServerLoad negated() {
+        return new ServerLoad(-requests, -unreadTokens, -heldTokens);
+    }
 }
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
@@ -25,22 +25,22 @@
 
     @Test
     void everyoneIsServedWhileTheWaitIsShort() {
-        assertTrue(policy.admits(LARGE, 10, CROWDED, Duration.ofMillis(100), TARGET));
+        assertTrue(policy.admits(LARGE, 10, () -> CROWDED, Duration.ofMillis(100), TARGET));
     }
 
     @Test
     void workspaceAboveTheFairLevelIsRefusedUnderContention() {
-        assertFalse(policy.admits(LARGE, 10, CROWDED, Duration.ofMillis(400), TARGET));
+        assertFalse(policy.admits(LARGE, 10, () -> CROWDED, Duration.ofMillis(400), TARGET));
     }
 
     @Test
     void workspaceBelowTheFairLevelIsServedUnderContention() {
-        assertTrue(policy.admits(SMALL, 10, CROWDED, Duration.ofMillis(400), TARGET));
+        assertTrue(policy.admits(SMALL, 10, () -> CROWDED, Duration.ofMillis(400), TARGET));
     }
 
     @Test
     void nobodyIsSentWhenTheAnswerWouldBeTooLate() {
-        assertFalse(policy.admits(SMALL, 10, CROWDED, Duration.ofMillis(1100), TARGET));
+        assertFalse(policy.admits(SMALL, 10, () -> CROWDED, Duration.ofMillis(1100), TARGET));
     }
 
     @Test
@@ -94,7 +94,7 @@
                 asked.merge(workspace, 1, Integer::sum);
                 board.asked(service, workspace, tokens, now);
                 Duration expected = Duration.ofMillis((long) (queue / 1000 * 20));
-                if (rule.admits(workspace, tokens, board.total(service, now), expected, TARGET)) {
+                if (rule.admits(workspace, tokens, () -> board.total(service, now), expected, TARGET)) {
                     board.sent(service, workspace, tokens, now);
                     served.merge(workspace, 1, Integer::sum);
                     queue += tokens;
--- /dev/null
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/LoadBoardTest.java
@@ -0,0 +1,64 @@
+package org.coltsfootquay.decision.selection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against sums over routers that drift from what the routers report. */
+final class LoadBoardTest {
+
+    private static final ServerName SERVER = new ServerName("s");
+    private static final RouterId PEER = new RouterId("peer");
+
+    private final LoadBoard board = new LoadBoard();
+
+    @Test
+    void newReportReplacesTheOneBefore() {
+        board.report(PEER, Map.of(SERVER, new ServerLoad(3, 30, 300)));
+        board.report(PEER, Map.of(SERVER, new ServerLoad(1, 10, 100)));
+        assertEquals(new ServerLoad(1, 10, 100), board.total(SERVER));
+    }
+
+    @Test
+    void serverThatIsMissingInANewReportHasNoLoadFromThatPeer() {
+        board.report(PEER, Map.of(SERVER, new ServerLoad(3, 30, 300)));
+        board.report(PEER, Map.of());
+        assertEquals(ServerLoad.NONE, board.total(SERVER));
+    }
+
+    @Test
+    void totalsAreTheSumOfWhatEachRouterLastReported() {
+        Random random = new Random(7);
+        Map<RouterId, Map<ServerName, ServerLoad>> reports = new HashMap<>();
+        Map<ServerName, ServerLoad> own = new HashMap<>();
+        for (int step = 0; step < 2_000; step++) {
+            RouterId peer = new RouterId("peer-" + random.nextInt(5));
+            ServerName server = new ServerName("server-" + random.nextInt(4));
+            ServerLoad load = new ServerLoad(random.nextInt(9), random.nextInt(900), random.nextInt(9_000));
+            switch (random.nextInt(3)) {
+                case 0 -> {
+                    board.change(server, load);
+                    own.merge(server, load, ServerLoad::plus);
+                }
+                case 1 -> {
+                    board.report(peer, Map.of(server, load));
+                    reports.put(peer, Map.of(server, load));
+                }
+                default -> {
+                    board.forget(peer);
+                    reports.remove(peer);
+                }
+            }
+            ServerLoad expected = own.getOrDefault(server, ServerLoad.NONE);
+            for (Map<ServerName, ServerLoad> report : reports.values()) {
+                expected = expected.plus(report.getOrDefault(server, ServerLoad.NONE));
+            }
+            assertEquals(expected, board.total(server));
+        }
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -177,7 +177,7 @@
                 .admits(
                         workspace.orElse(NO_WORKSPACE),
                         size(),
-                        context.demands().total(service.name(), now()),
+                        () -> context.demands().total(service.name(), now()),
                         candidate.queue().plusNanos(waited),
                         route.target());
         if (!admits) {
