Make fewer store calls in a large fleet

Cause: each change of a row answered the watches of all routers, so that calls grew with routers times changes: 63 registrations of servers and 61 of routers before any traffic cost 61 calls each.

Change: after a change a router pauses 10 ms for each router of the fleet, 600 ms at most, so that the changes of the pause come in one answer; watches of a large fleet are held up to 10 s; the table of routers is read once after the own registration, then watched with pauses of 10 s, since later routers are heard by beacons. The lag monitor waits for the pause too.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
@@ -10,7 +10,7 @@
  */
 public final class LagMonitor {
 
-    /** Time that the own watch is given to deliver a change that a peer has; a well store needs a few milliseconds. */
+    /** Time that the own watch is given to deliver a change that a peer has, beside its pauses between calls. */
     public static final Duration PATIENCE = Duration.ofMillis(250);
 
     private long newest;
@@ -27,10 +27,11 @@
      *
      * @param theirs revision of the last change that the peer knows
      * @param ours revision up to which this router's copy is complete
+     * @param pause time for which the own watch may pause after a change
      * @param nowNanos current time
      * @return true if the peer should be asked for its copy now
      */
-    public boolean heard(long theirs, long ours, long nowNanos) {
+    public boolean heard(long theirs, long ours, Duration pause, long nowNanos) {
         newest = Math.max(newest, theirs);
         if (newest <= ours) {
             behind = false;
@@ -40,6 +41,7 @@
             behind = true;
             behindSinceNanos = nowNanos;
         }
-        return theirs > ours && nowNanos - behindSinceNanos >= PATIENCE.toNanos();
+        return theirs > ours
+                && nowNanos - behindSinceNanos >= PATIENCE.plus(pause).toNanos();
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -165,8 +165,13 @@
     }
 
     private void compare(PeerRouter peer, WatchedTable table, long theirs) {
+        long ours = watcher.mirror(table).revision();
+        if (table == WatchedTable.ROUTERS && ours > 0) {
+            // Later registrations are learned from beacons.
+            return;
+        }
         boolean ask = lags.computeIfAbsent(table, name -> new LagMonitor())
-                .heard(theirs, watcher.mirror(table).revision(), timers.nowNanos());
+                .heard(theirs, ours, watcher.changePause(), timers.nowNanos());
         if (ask && !fetching.getOrDefault(table, false)) {
             fetching.put(table, true);
             copies.fetch(peer, table, () -> fetching.put(table, false));
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -76,6 +76,7 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
     private boolean registered;
+    private boolean routersFollowed;
 
     /**
      * Puts a router together.
@@ -101,7 +102,8 @@
                 store,
                 timers,
                 new Random(incarnation),
-                new StateApplier(forwarding, platform.decoder(), timers, settings.id(), this::registrationMissing));
+                new StateApplier(forwarding, platform.decoder(), timers, settings.id(), this::registrationMissing),
+                () -> peers.members().size());
         this.copies = new TableCopies(eventLoop, watcher);
         this.beacons =
                 new Beacons(self, incarnation, settings.seeds(), forwarding, watcher, copies, timers, this::ready);
@@ -223,6 +225,10 @@
             if (reply instanceof StoreReply.Rows) {
                 registered = true;
                 LOG.info("router_registered", "router", settings.id());
+                if (!routersFollowed) {
+                    routersFollowed = true;
+                    watcher.startRouters();
+                }
             } else {
                 timers.after("register", REGISTER_PAUSE, this::register);
             }
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
@@ -25,6 +26,27 @@
      */
     private static final Duration WATCH_TIME = Duration.ofSeconds(5);
 
+    /**
+     * Routers for which the watch time holds. In a larger fleet watches are longer, since some router's watch ends as
+     * soon as in a small one, and calls would grow with the fleet.
+     */
+    private static final int SMALL_FLEET = 8;
+
+    /** Longest watch in a large fleet: the time after which a router that hears no peer notices a dead connection. */
+    private static final Duration LONGEST_WATCH_TIME = Duration.ofSeconds(10);
+
+    /**
+     * Pause after a change, for each router of the fleet. Each change answers the watches of all routers, so that calls
+     * grow with both; changes of the pause come in one answer.
+     */
+    private static final Duration PAUSE_PER_ROUTER = Duration.ofMillis(10);
+
+    /** Longest pause after a change; a small part of the shortest bound on changes, 3 s for the configuration. */
+    private static final Duration LONGEST_CHANGE_PAUSE = Duration.ofMillis(600);
+
+    /** Pause after a change of the table of routers: a router that joins is heard by its beacons. */
+    private static final Duration ROUTER_PAUSE = Duration.ofSeconds(10);
+
     /** Part of the watch time that is random, so that routers that start together watch at different moments. */
     private static final double WATCH_SPREAD = 0.5;
 
@@ -46,6 +68,7 @@
     private final TimerService timers;
     private final RandomGenerator random;
     private final TableListener listener;
+    private final IntSupplier routers;
     private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
     private int failuresInRow;
     private boolean lost;
@@ -58,20 +81,48 @@
      * @param timers timers of the event loop
      * @param random spreads the watches of routers
      * @param listener hears of new content
+     * @param routers number of routers that watch
      */
-    public TableWatcher(TableStore store, TimerService timers, RandomGenerator random, TableListener listener) {
+    public TableWatcher(
+            TableStore store,
+            TimerService timers,
+            RandomGenerator random,
+            TableListener listener,
+            IntSupplier routers) {
         this.random = random;
         this.store = store;
         this.timers = timers;
         this.listener = listener;
+        this.routers = routers;
         for (WatchedTable table : WatchedTable.values()) {
             watches.put(table, new Watch(table));
         }
     }
 
-    /** Begins to read and watch all tables. */
+    /** Begins to read and watch the tables of the operator and of servers. */
     public void start() {
-        watches.values().forEach(Watch::read);
+        watches.get(WatchedTable.OPERATOR).read();
+        watches.get(WatchedTable.SERVERS).read();
+    }
+
+    /**
+     * Begins to read and watch the table of routers.
+     *
+     * <p>A router that reads after it has registered sees all that registered before it, and the later ones see it, so
+     * that no router needs to hear of a registration at once.
+     */
+    public void startRouters() {
+        watches.get(WatchedTable.ROUTERS).read();
+    }
+
+    /**
+     * Returns the time for which changes may be hidden from this router by its pause after a change.
+     *
+     * @return pause, which grows with the number of routers
+     */
+    public Duration changePause() {
+        Duration pause = PAUSE_PER_ROUTER.multipliedBy(routers.getAsInt());
+        return pause.compareTo(LONGEST_CHANGE_PAUSE) < 0 ? pause : LONGEST_CHANGE_PAUSE;
     }
 
     /** Makes no more calls. */
@@ -155,8 +206,9 @@
             if (table == WatchedTable.ROUTERS) {
                 return ROUTER_WATCH_TIME;
             }
-            double part = 1 - WATCH_SPREAD * random.nextDouble();
-            return Duration.ofMillis((long) (WATCH_TIME.toMillis() * part));
+            double factor = Math.max(1, (double) routers.getAsInt() / SMALL_FLEET);
+            double longest = Math.min((double) LONGEST_WATCH_TIME.toMillis(), WATCH_TIME.toMillis() * factor);
+            return Duration.ofMillis((long) (longest * (1 - WATCH_SPREAD * random.nextDouble())));
         }
 
         private void readDone(StoreReply reply) {
@@ -183,7 +235,12 @@
                 if (!news.isEmpty()) {
                     listener.changed(table, news, mirror.rows());
                 }
-                watch();
+                if (rows.rows().isEmpty()) {
+                    watch();
+                } else {
+                    Duration pause = table == WatchedTable.ROUTERS ? ROUTER_PAUSE : changePause();
+                    var unused = timers.after("table watch", pause, this::watch);
+                }
             } else if (reply instanceof StoreReply.HistoryGone) {
                 LOG.info("store_history_gone", "table", table, "revision", mirror.revision());
                 read();
