Tell peers of changed loads every 200 ms in a large fleet

Cause: beacons of 61 routers are 762 ms apart, and in that time a server gets about nine requests that the other routers do not know of.

Change: between beacons a router sends an update with the loads that changed and the shared parts given to servers to read. It names its sender by the incarnation, and repeats neither the address card nor unchanged loads.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -21,7 +21,7 @@
  */
 public final class PeerTable {
 
-    /** Shortest time between two beacons of a router: loads are this old at most. */
+    /** Shortest time between two beacons of a router, and time between updates of loads in a large fleet. */
     public static final Duration SHORTEST_PERIOD = Duration.ofMillis(200);
 
     /** Longest time between two beacons, which bounds how long a dead router gets callers in a large fleet. */
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/LoadBoard.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/LoadBoard.java
@@ -1,7 +1,9 @@
 package org.coltsfootquay.decision.selection;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
@@ -15,6 +17,7 @@
 public final class LoadBoard {
 
     private final Map<ServerName, ServerLoad> own = new HashMap<>();
+    private final Set<ServerName> changed = new HashSet<>();
     private final Map<RouterId, Map<ServerName, ServerLoad>> peers = new HashMap<>();
 
     /** Sums over all routers, kept up to date since each request reads those of all servers. */
@@ -34,6 +37,7 @@
     public void change(ServerName server, ServerLoad change) {
         add(own, server, change);
         add(totals, server, change);
+        changed.add(server);
     }
 
     /**
@@ -44,9 +48,24 @@
      */
     public void report(RouterId peer, Map<ServerName, ServerLoad> loads) {
         forget(peer);
-        Map<ServerName, ServerLoad> report = Map.copyOf(loads);
-        peers.put(peer, report);
-        report.forEach((server, load) -> add(totals, server, load));
+        update(peer, loads);
+    }
+
+    /**
+     * Replaces what a peer has sent to some servers.
+     *
+     * @param peer peer
+     * @param loads new loads of these servers, {@link ServerLoad#NONE} included
+     */
+    public void update(RouterId peer, Map<ServerName, ServerLoad> loads) {
+        Map<ServerName, ServerLoad> report = peers.computeIfAbsent(peer, router -> new HashMap<>());
+        loads.forEach((server, load) -> {
+            ServerLoad before = load.equals(ServerLoad.NONE) ? report.remove(server) : report.put(server, load);
+            add(totals, server, load);
+            if (before != null) {
+                add(totals, server, before.negated());
+            }
+        });
     }
 
     /**
@@ -70,6 +89,18 @@
         return new TreeMap<>(own);
     }
 
+    /**
+     * Returns the servers whose load by this router has changed since the last call, with what it has sent to them now.
+     *
+     * @return loads by server, {@link ServerLoad#NONE} included
+     */
+    public Map<ServerName, ServerLoad> takeChanged() {
+        Map<ServerName, ServerLoad> loads = new TreeMap<>();
+        changed.forEach(server -> loads.put(server, own(server)));
+        changed.clear();
+        return loads;
+    }
+
     /**
      * Returns what this router has sent to a server.
      *
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/LoadBoardTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/LoadBoardTest.java
@@ -31,6 +31,30 @@
         assertEquals(ServerLoad.NONE, board.total(SERVER));
     }
 
+    @Test
+    void updateLeavesTheOtherServersOfThePeer() {
+        ServerName other = new ServerName("other");
+        board.report(PEER, Map.of(SERVER, new ServerLoad(3, 30, 300), other, new ServerLoad(2, 20, 200)));
+        board.update(PEER, Map.of(SERVER, ServerLoad.NONE));
+        assertEquals(ServerLoad.NONE, board.total(SERVER));
+        assertEquals(new ServerLoad(2, 20, 200), board.total(other));
+    }
+
+    @Test
+    void changesAreTakenOnce() {
+        board.change(SERVER, new ServerLoad(1, 10, 100));
+        assertEquals(Map.of(SERVER, new ServerLoad(1, 10, 100)), board.takeChanged());
+        assertEquals(Map.of(), board.takeChanged());
+    }
+
+    @Test
+    void serverWithoutWorkIsAmongTheChanges() {
+        board.change(SERVER, new ServerLoad(1, 10, 100));
+        board.takeChanged();
+        board.change(SERVER, new ServerLoad(-1, -10, -100));
+        assertEquals(Map.of(SERVER, ServerLoad.NONE), board.takeChanged());
+    }
+
     @Test
     void totalsAreTheSumOfWhatEachRouterLastReported() {
         Random random = new Random(7);
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -24,7 +24,6 @@
 import org.coltsfootquay.router.forward.CacheRead;
 import org.coltsfootquay.router.forward.ForwardingContext;
 import org.coltsfootquay.router.log.EventLog;
-import org.coltsfootquay.router.neighbor.BeaconChannel;
 import org.coltsfootquay.router.neighbor.TableCopies;
 import org.coltsfootquay.router.state.TableWatcher;
 import org.coltsfootquay.router.state.WatchedTable;
@@ -43,6 +42,7 @@
     private final TimerService timers;
     private final BooleanSupplier ready;
     private final Map<RouterId, Life> lives = new HashMap<>();
+    private final Map<Long, RouterId> routersByIncarnation = new HashMap<>();
     private final Map<WatchedTable, LagMonitor> lags = new EnumMap<>(WatchedTable.class);
     private final Map<WatchedTable, Boolean> fetching = new EnumMap<>(WatchedTable.class);
     private long sequence;
@@ -71,12 +71,15 @@
     }
 
     /** Sends a beacon to every known router, and to the seeds while none is known. */
-    void send(BeaconChannel channel) {
+    void send(BeaconSender channel) {
         for (RouterId silent : forwarding.peers().dropSilent(timers.nowNanos())) {
             LOG.warn("router_lost", "router", silent);
             forwarding.loads().forget(silent);
             forwarding.demands().forget(silent);
-            lives.remove(silent);
+            Life life = lives.remove(silent);
+            if (life != null) {
+                routersByIncarnation.remove(life.incarnation);
+            }
         }
         Beacon.Builder beacon = PeerRows.card(self)
                 .setIncarnation(incarnation)
@@ -85,20 +88,9 @@
         for (WatchedTable table : WatchedTable.values()) {
             beacon.addTableRevisions(watcher.mirror(table).changeRevision());
         }
-        forwarding
-                .loads()
-                .own()
-                .forEach((server, load) -> beacon.addLoads(BeaconLoad.newBuilder()
-                        .setServer(server.value())
-                        .setRequests(load.requests())
-                        .setUnreadTokens(load.unreadTokens())
-                        .setHeldTokens(load.heldTokens())));
-        for (CacheRead read : forwarding.takeNewReads()) {
-            beacon.addReads(BeaconRead.newBuilder()
-                    .setServer(read.server().value())
-                    .setSharedKey(read.sharedKey())
-                    .setTokens(read.tokens()));
-        }
+        forwarding.loads().takeChanged();
+        addLoads(beacon, forwarding.loads().own());
+        addNewReads(beacon);
         forwarding
                 .demands()
                 .own(timers.nowNanos())
@@ -109,17 +101,60 @@
                                 .setAsked((long) demand.asked())
                                 .setSent((long) demand.sent()))));
         byte[] bytes = beacon.build().toByteArray();
+        if (!sendToPeers(channel, bytes)) {
+            seeds.forEach(seed -> channel.send(bytes, seed));
+        }
+    }
+
+    /**
+     * Sends what has changed since the last beacon, if anything did.
+     *
+     * <p>The choice of a server depends on what the other routers have sent to it within the last parts of a second;
+     * everything else may be as old as a beacon of a large fleet.
+     */
+    void sendUpdate(BeaconSender channel) {
+        Map<ServerName, ServerLoad> changed = forwarding.loads().takeChanged();
+        if (changed.isEmpty()) {
+            return;
+        }
+        Beacon.Builder beacon =
+                Beacon.newBuilder().setUpdate(true).setIncarnation(incarnation).setSequence(sequence++);
+        addLoads(beacon, changed);
+        addNewReads(beacon);
+        sendToPeers(channel, beacon.build().toByteArray());
+    }
+
+    private boolean sendToPeers(BeaconSender channel, byte[] bytes) {
         List<PeerRouter> targets = forwarding.peers().beaconTargets();
         for (PeerRouter target : targets) {
             channel.send(bytes, new InetSocketAddress(target.host(), target.peerPort()));
         }
-        if (targets.isEmpty()) {
-            seeds.forEach(seed -> channel.send(bytes, seed));
+        return !targets.isEmpty();
+    }
+
+    private static void addLoads(Beacon.Builder beacon, Map<ServerName, ServerLoad> loads) {
+        loads.forEach((server, load) -> beacon.addLoads(BeaconLoad.newBuilder()
+                .setServer(server.value())
+                .setRequests(load.requests())
+                .setUnreadTokens(load.unreadTokens())
+                .setHeldTokens(load.heldTokens())));
+    }
+
+    private void addNewReads(Beacon.Builder beacon) {
+        for (CacheRead read : forwarding.takeNewReads()) {
+            beacon.addReads(BeaconRead.newBuilder()
+                    .setServer(read.server().value())
+                    .setSharedKey(read.sharedKey())
+                    .setTokens(read.tokens()));
         }
     }
 
     /** Takes a beacon of another router. */
     void received(Beacon beacon) {
+        if (beacon.getUpdate()) {
+            updateReceived(beacon);
+            return;
+        }
         Optional<PeerRouter> card = PeerRows.card(beacon);
         if (card.isEmpty() || card.get().id().equals(self.id())) {
             return;
@@ -132,8 +167,41 @@
         if (life == null || life.incarnation != beacon.getIncarnation()) {
             LOG.info("router_heard", "router", peer.id(), "incarnation", Long.toHexString(beacon.getIncarnation()));
         }
+        if (life != null) {
+            routersByIncarnation.remove(life.incarnation);
+        }
         lives.put(peer.id(), new Life(beacon.getIncarnation(), beacon.getSequence()));
+        routersByIncarnation.put(beacon.getIncarnation(), peer.id());
         forwarding.peers().heard(peer, beacon.getReady(), timers.nowNanos());
+        forwarding.loads().report(peer.id(), loads(beacon));
+        takeReads(beacon);
+        Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
+        for (BeaconDemand demand : beacon.getDemandsList()) {
+            if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
+                demands.computeIfAbsent(new ServiceName(demand.getService()), name -> new HashMap<>())
+                        .put(new WorkspaceId(demand.getWorkspace()), new Demand(demand.getAsked(), demand.getSent()));
+            }
+        }
+        forwarding.demands().report(peer.id(), demands);
+        for (WatchedTable table : WatchedTable.values()) {
+            if (table.number() < beacon.getTableRevisionsCount()) {
+                compare(peer, table, beacon.getTableRevisions(table.number()));
+            }
+        }
+    }
+
+    /** Takes an update; one of an unknown life is left out, since a full beacon follows within a second. */
+    private void updateReceived(Beacon beacon) {
+        RouterId peer = routersByIncarnation.get(beacon.getIncarnation());
+        if (peer == null || beacon.getSequence() <= lives.get(peer).sequence) {
+            return;
+        }
+        lives.put(peer, new Life(beacon.getIncarnation(), beacon.getSequence()));
+        forwarding.loads().update(peer, loads(beacon));
+        takeReads(beacon);
+    }
+
+    private static Map<ServerName, ServerLoad> loads(Beacon beacon) {
         Map<ServerName, ServerLoad> loads = new HashMap<>();
         for (BeaconLoad load : beacon.getLoadsList()) {
             if (!load.getServer().isEmpty()) {
@@ -142,26 +210,16 @@
                         new ServerLoad(load.getRequests(), load.getUnreadTokens(), load.getHeldTokens()));
             }
         }
-        forwarding.loads().report(peer.id(), loads);
+        return loads;
+    }
+
+    private void takeReads(Beacon beacon) {
         for (BeaconRead read : beacon.getReadsList()) {
             if (!read.getServer().isEmpty()) {
                 forwarding.serverReads(
                         new CacheRead(new ServerName(read.getServer()), read.getSharedKey(), read.getTokens()));
             }
         }
-        Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
-        for (BeaconDemand demand : beacon.getDemandsList()) {
-            if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
-                demands.computeIfAbsent(new ServiceName(demand.getService()), name -> new HashMap<>())
-                        .put(new WorkspaceId(demand.getWorkspace()), new Demand(demand.getAsked(), demand.getSent()));
-            }
-        }
-        forwarding.demands().report(peer.id(), demands);
-        for (WatchedTable table : WatchedTable.values()) {
-            if (table.number() < beacon.getTableRevisionsCount()) {
-                compare(peer, table, beacon.getTableRevisions(table.number()));
-            }
-        }
     }
 
     private void compare(PeerRouter peer, WatchedTable table, long theirs) {
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -133,6 +133,7 @@
             watcher.start();
             register();
             sendBeacon();
+            timers.every("load update", PeerTable.SHORTEST_PERIOD, this::sendUpdate);
             timers.every("sweep", SWEEP, this::sweep);
         });
         int[] left = {bound.size()};
@@ -162,7 +163,7 @@
             stopping = true;
             LOG.info("router_stopping", "router", settings.id(), "busy", callers.busy());
             callers.beginStop();
-            beacons.send(beaconChannel);
+            beacons.send(beaconChannel::send);
             Duration kept = settings.addressTime().multipliedBy(KEPT_FACTOR);
             timers.after("refuse new requests", kept, () -> {
                 callers.refuseNew();
@@ -236,10 +237,16 @@
     }
 
     private void sendBeacon() {
-        beacons.send(beaconChannel);
+        beacons.send(beaconChannel::send);
         timers.after("beacon", peers.beaconPeriod(), this::sendBeacon);
     }
 
+    private void sendUpdate() {
+        if (peers.beaconPeriod().compareTo(PeerTable.SHORTEST_PERIOD) > 0) {
+            beacons.sendUpdate(beaconChannel::send);
+        }
+    }
+
     /** Registers again when another router removed the row of this one, which it had not heard for long. */
     private void registrationMissing() {
         if (registered) {
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconsTest.java
@@ -0,0 +1,131 @@
+package org.coltsfootquay.router.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.selection.ServerLoad;
+import org.coltsfootquay.decision.timer.DrivenTimerService;
+import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.forward.SharedBounds;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+import org.coltsfootquay.router.state.TableWatcher;
+import org.junit.jupiter.api.Test;
+
+/** Guards against choices of servers that rest on loads of a second ago, or on loads of a router that is gone. */
+final class BeaconsTest {
+
+    private static final ServerName SERVER = new ServerName("s");
+    private static final ServerName OTHER = new ServerName("other");
+
+    private final DrivenTimerService timers = new DrivenTimerService(0);
+    private final Side sender = new Side("a", 1);
+    private final Side receiver = new Side("b", 2);
+
+    BeaconsTest() {
+        sender.peers.heard(receiver.card, true, 0);
+    }
+
+    @Test
+    void beaconStatesAllLoadsOfTheSender() {
+        sender.forwarding.loads().change(SERVER, new ServerLoad(2, 20, 200));
+        sender.beacons.send(sender::sent);
+        receiver.takeAll(sender);
+        assertEquals(new ServerLoad(2, 20, 200), receiver.forwarding.loads().total(SERVER));
+    }
+
+    @Test
+    void updateChangesOnlyTheLoadsThatItStates() {
+        sender.forwarding.loads().change(SERVER, new ServerLoad(2, 20, 200));
+        sender.forwarding.loads().change(OTHER, new ServerLoad(1, 10, 100));
+        sender.beacons.send(sender::sent);
+        sender.forwarding.loads().change(SERVER, new ServerLoad(1, 5, 50));
+        sender.beacons.sendUpdate(sender::sent);
+        receiver.takeAll(sender);
+        assertEquals(new ServerLoad(3, 25, 250), receiver.forwarding.loads().total(SERVER));
+        assertEquals(new ServerLoad(1, 10, 100), receiver.forwarding.loads().total(OTHER));
+    }
+
+    @Test
+    void nothingIsSentWhenNoLoadChanged() {
+        sender.beacons.sendUpdate(sender::sent);
+        assertTrue(sender.datagrams.isEmpty());
+    }
+
+    @Test
+    void updateOfAnUnknownLifeIsLeftOut() {
+        sender.forwarding.loads().change(SERVER, new ServerLoad(2, 20, 200));
+        sender.beacons.sendUpdate(sender::sent);
+        receiver.takeAll(sender);
+        assertEquals(ServerLoad.NONE, receiver.forwarding.loads().total(SERVER));
+    }
+
+    @Test
+    void lateUpdateDoesNotUndoANewerBeacon() {
+        sender.beacons.send(sender::sent);
+        sender.forwarding.loads().change(SERVER, new ServerLoad(2, 20, 200));
+        sender.beacons.sendUpdate(sender::sent);
+        sender.forwarding.loads().change(SERVER, new ServerLoad(-2, -20, -200));
+        sender.beacons.send(sender::sent);
+        receiver.take(sender.datagrams.get(0));
+        receiver.take(sender.datagrams.get(2));
+        receiver.take(sender.datagrams.get(1));
+        assertEquals(ServerLoad.NONE, receiver.forwarding.loads().total(SERVER));
+    }
+
+    @Test
+    void loadsOfASilentRouterAreDropped() {
+        sender.forwarding.loads().change(SERVER, new ServerLoad(2, 20, 200));
+        sender.beacons.send(sender::sent);
+        receiver.takeAll(sender);
+        timers.advance(receiver.peers.silence().plusMillis(1).toNanos());
+        receiver.beacons.send(receiver::sent);
+        assertEquals(ServerLoad.NONE, receiver.forwarding.loads().total(SERVER));
+    }
+
+    private final class Side {
+
+        private final PeerRouter card;
+        private final PeerTable peers;
+        private final ForwardingContext forwarding;
+        private final Beacons beacons;
+        private final List<byte[]> datagrams = new ArrayList<>();
+
+        private Side(String name, long incarnation) {
+            card = new PeerRouter(new RouterId(name), new ZoneName("z"), "127.0.0.1", 1, "127.0.0.1:1");
+            peers = new PeerTable(card);
+            SharedBounds bounds = new SharedBounds(0.2, 50, Duration.ofSeconds(10), 1.5, 5);
+            forwarding = new ForwardingContext(
+                    card.id(), card.zone(), timers, null, null, peers, bounds, new RouterMetrics());
+            TableWatcher watcher = new TableWatcher(null, timers, new Random(1), null, () -> 2);
+            beacons = new Beacons(card, incarnation, List.of(), forwarding, watcher, null, timers, () -> true);
+        }
+
+        private void sent(byte[] datagram, InetSocketAddress to) {
+            datagrams.add(datagram);
+        }
+
+        private void takeAll(Side from) {
+            from.datagrams.forEach(this::take);
+        }
+
+        private void take(byte[] datagram) {
+            try {
+                beacons.received(Beacon.parseFrom(datagram));
+            } catch (InvalidProtocolBufferException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+}
