Count shared prompt parts once in the memory of a server

Cause: each running request counted as holding its whole prompt, so that a server looked full at 25 requests of one shared part (426,000 of 501,000 tokens), although the part lies in memory once. Its home was then left, and the part read again elsewhere.

Change: a request holds its own tokens only; a server is full when running requests hold what the cache of shared parts leaves (0.4 of the memory).

--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
@@ -17,7 +17,7 @@
 public final class PromptCacheView {
 
     /** Part of a server's memory that cached parts may fill; running requests take the rest. */
-    private static final double CACHE_SHARE = 0.6;
+    static final double CACHE_SHARE = 0.6;
 
     private final Map<ServerName, Cache> caches = new HashMap<>();
     private final Set<Long> known = new HashSet<>();
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -44,8 +44,8 @@
     /** Cost of an engine that fails all its requests, milliseconds: more than any queue. */
     private static final double FAILURE_MILLIS = 8000;
 
-    /** Part of the memory above which running requests are likely to be preempted. */
-    private static final double FULL_MEMORY = 0.85;
+    /** Part of the memory that running requests may hold besides shared parts; the rest keeps shared parts. */
+    private static final double RUNNING_SHARE = 1 - PromptCacheView.CACHE_SHARE;
 
     /** Cost of an engine whose slots or memory are full, milliseconds: about the time until a request ends. */
     private static final double FULL_MILLIS = 1500;
@@ -119,7 +119,8 @@
                 + (load.unreadTokens() + newTokens) / READ_TOKENS_PER_MILLI
                 + load.requests() * RUNNING_REQUEST_MILLIS;
         boolean slotsFull = load.requests() >= entry.slots();
-        boolean memoryFull = memoryTokens > 0 && load.heldTokens() + prompt.tokens() > memoryTokens * FULL_MEMORY;
+        long held = load.heldTokens() + ServerLoad.ofRequest(prompt, newTokens).heldTokens();
+        boolean memoryFull = memoryTokens > 0 && held > memoryTokens * RUNNING_SHARE;
         return slotsFull || memoryFull ? millis + FULL_MILLIS : millis;
     }
 
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
@@ -73,6 +73,28 @@
         assertEquals(keeper, choose(servers, prompt("a")).entry().server());
     }
 
+    /** Counting a shared part once for each request made engines look full at 25 requests, and its homes were left. */
+    @Test
+    void keeperWithManyRequestsOfOneSharedPartIsNotFull() {
+        List<BackendEntry> servers = servers(6);
+        ServerName keeper = servers.get(0).server();
+        caches.read(keeper, prompt("a").sharedKey(), SHARED, MEMORY);
+        for (int i = 0; i < 40; i++) {
+            loads.change(keeper, ServerLoad.ofRequest(prompt("a"), 0));
+        }
+        assertEquals(keeper, choose(servers, prompt("a")).entry().server());
+    }
+
+    @Test
+    void keeperWhoseMemoryIsFullOfRunningRequestsIsLeft() {
+        List<BackendEntry> servers = servers(6);
+        ServerName keeper = servers.get(0).server();
+        caches.read(keeper, prompt("a").sharedKey(), SHARED, MEMORY);
+        loads.change(keeper, new ServerLoad(50, 0, 450_000));
+        loads.change(keeper, new ServerLoad(0, 20_000, 0));
+        assertNotEquals(keeper, choose(servers, prompt("a")).entry().server());
+    }
+
     @Test
     void failingServerIsLeft() {
         List<BackendEntry> servers = servers(2);
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -20,7 +20,6 @@
 import org.coltsfootquay.decision.route.RouteKind;
 import org.coltsfootquay.decision.route.ServicePolicy;
 import org.coltsfootquay.decision.selection.Candidate;
-import org.coltsfootquay.decision.selection.Prompt;
 import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.decision.timer.TimerService.Subscription;
 import org.coltsfootquay.router.log.EventLog;
@@ -522,8 +521,7 @@
     }
 
     private void charge() {
-        Prompt prompt = facts.prompt();
-        charged = new ServerLoad(1, candidate.newTokens(), (long) prompt.tokens() + prompt.maxOutputTokens());
+        charged = ServerLoad.ofRequest(facts.prompt(), candidate.newTokens());
         context.loads().change(candidate.entry().server(), charged);
     }
 
