Learn what servers keep from a peer when a router joins

Cause: a router that starts in a running fleet knows no shared parts and takes the home of each for its keeper, but parts move from their homes when those are busy or gone. Its first requests had such parts read again.

Change: a router that joins asks the first peer of its zone that does not join itself for the shared parts that servers keep (one copy over TCP, least recently used first), and stops trusting homes when it has them.

--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptCacheView.java
@@ -79,6 +79,26 @@
         caches.computeIfAbsent(server, name -> new Cache()).put(sharedKey, tokens, (long) (memoryTokens * CACHE_SHARE));
     }
 
+    /**
+     * Returns the parts that a server probably keeps.
+     *
+     * @param server server
+     * @return tokens of the parts by key, least recently used first
+     */
+    public Map<Long, Integer> partsOf(ServerName server) {
+        Cache cache = caches.get(server);
+        return cache == null ? Map.of() : new LinkedHashMap<>(cache.parts);
+    }
+
+    /**
+     * Returns the servers of which parts are known.
+     *
+     * @return servers
+     */
+    public Set<ServerName> servers() {
+        return Set.copyOf(caches.keySet());
+    }
+
     /**
      * Forgets what a server kept.
      *
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -88,13 +88,12 @@
     }
 
     /**
-     * Begins with the belief that servers keep what their peers gave them before this router started.
+     * Returns the shared prompt parts that servers keep.
      *
-     * @param time time after which only what was heard counts
+     * @return view
      */
-    public void joinRunningFleet(Duration time) {
-        caches.trustHomes(true);
-        var unused = timers.after("trust in homes", time, () -> caches.trustHomes(false));
+    public PromptCacheView caches() {
+        return caches;
     }
 
     /** Notes that the registrations of servers were read for the first time. */
--- a/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopies.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopies.java
@@ -25,7 +25,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.protocol.generated.peer.CachedParts;
 import org.coltsfootquay.protocol.generated.peer.TableCopy;
 import org.coltsfootquay.protocol.generated.peer.TableCopyRequest;
 import org.coltsfootquay.protocol.generated.peer.TableCopyRow;
@@ -36,7 +39,9 @@
 import org.coltsfootquay.router.state.TableWatcher;
 import org.coltsfootquay.router.state.WatchedTable;
 
-/** Passes copies of tables between routers, one connection for each copy; runs on one event loop. */
+/**
+ * Passes copies of tables, and of what servers keep, between routers; one connection for each copy, one event loop.
+ */
 public final class TableCopies {
 
     private static final EventLog LOG = EventLog.of(TableCopies.class);
@@ -52,14 +57,17 @@
 
     private final EventLoop eventLoop;
     private final TableWatcher watcher;
+    private final Supplier<CachedParts> cachedParts;
 
     /**
      * Creates the exchange.
      *
      * @param eventLoop event loop
      * @param watcher holds the copies of this router
+     * @param cachedParts gives the shared prompt parts that servers keep
      */
-    public TableCopies(EventLoop eventLoop, TableWatcher watcher) {
+    public TableCopies(EventLoop eventLoop, TableWatcher watcher, Supplier<CachedParts> cachedParts) {
+        this.cachedParts = cachedParts;
         this.eventLoop = eventLoop;
         this.watcher = watcher;
     }
@@ -88,27 +96,54 @@
      * @param done runs when the copy was taken or the attempt has failed
      */
     public void fetch(PeerRouter peer, WatchedTable table, Runnable done) {
-        byte[] request =
-                TableCopyRequest.newBuilder().setTable(table.number()).build().toByteArray();
+        ask(peer, TableCopyRequest.newBuilder().setTable(table.number()).build(), this::take, done);
+    }
+
+    /**
+     * Asks a peer for the shared prompt parts that servers keep.
+     *
+     * @param peer peer
+     * @param taken gets the answer
+     * @param done runs when the answer was taken or the attempt has failed
+     */
+    public void fetchCachedParts(PeerRouter peer, Consumer<CachedParts> taken, Runnable done) {
+        TableCopyRequest request =
+                TableCopyRequest.newBuilder().setCachedParts(true).build();
+        ask(
+                peer,
+                request,
+                (context, message) -> {
+                    ChannelUtils.close(context.channel());
+                    taken.accept(CachedParts.parseFrom(message));
+                },
+                done);
+    }
+
+    private void ask(PeerRouter peer, TableCopyRequest request, MessageReader reader, Runnable done) {
         new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-                .handler(initializer(this::take, done))
+                .handler(initializer(reader, done))
                 .connect(peer.host(), peer.peerPort())
                 .addListener((ChannelFuture connected) -> {
                     if (connected.isSuccess()) {
-                        ChannelUtils.send(connected.channel(), Unpooled.wrappedBuffer(request));
+                        ChannelUtils.send(connected.channel(), Unpooled.wrappedBuffer(request.toByteArray()));
                     } else {
-                        LOG.info("table_copy_failed", "peer", peer.id(), "table", table);
+                        LOG.info("table_copy_failed", "peer", peer.id(), "reason", connected.cause());
                         done.run();
                     }
                 });
     }
 
     private void answer(ChannelHandlerContext context, byte[] message) throws InvalidProtocolBufferException {
-        Optional<WatchedTable> table =
-                WatchedTable.of(TableCopyRequest.parseFrom(message).getTable());
+        TableCopyRequest request = TableCopyRequest.parseFrom(message);
+        if (request.getCachedParts()) {
+            context.writeAndFlush(Unpooled.wrappedBuffer(cachedParts.get().toByteArray()))
+                    .addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        Optional<WatchedTable> table = WatchedTable.of(request.getTable());
         if (table.isEmpty()) {
             ChannelUtils.close(context.channel());
             return;
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -39,6 +39,7 @@
     private final ForwardingContext forwarding;
     private final TableWatcher watcher;
     private final TableCopies copies;
+    private final CacheJoin caches;
     private final TimerService timers;
     private final BooleanSupplier ready;
     private final Map<RouterId, Life> lives = new HashMap<>();
@@ -54,6 +55,7 @@
             ForwardingContext forwarding,
             TableWatcher watcher,
             TableCopies copies,
+            CacheJoin caches,
             TimerService timers,
             BooleanSupplier ready) {
         this.self = self;
@@ -66,6 +68,7 @@
         this.forwarding = forwarding;
         this.watcher = watcher;
         this.copies = copies;
+        this.caches = caches;
         this.timers = timers;
         this.ready = ready;
     }
@@ -84,7 +87,8 @@
         Beacon.Builder beacon = PeerRows.card(self)
                 .setIncarnation(incarnation)
                 .setSequence(sequence++)
-                .setReady(ready.getAsBoolean());
+                .setReady(ready.getAsBoolean())
+                .setJoining(caches.joining());
         for (WatchedTable table : WatchedTable.values()) {
             beacon.addTableRevisions(watcher.mirror(table).changeRevision());
         }
@@ -173,6 +177,7 @@
         lives.put(peer.id(), new Life(beacon.getIncarnation(), beacon.getSequence()));
         routersByIncarnation.put(beacon.getIncarnation(), peer.id());
         forwarding.peers().heard(peer, beacon.getReady(), timers.nowNanos());
+        caches.heard(peer, beacon.getJoining());
         forwarding.loads().report(peer.id(), loads(beacon));
         takeReads(beacon);
         Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/CacheJoin.java
@@ -0,0 +1,105 @@
+package org.coltsfootquay.router.node;
+
+import java.time.Duration;
+import java.util.Map;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.selection.PromptCacheView;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.protocol.generated.peer.CachedParts;
+import org.coltsfootquay.protocol.generated.peer.CachedServer;
+import org.coltsfootquay.router.forward.CacheRead;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.neighbor.TableCopies;
+
+/**
+ * Learns from a peer which shared prompt parts servers keep, when this router joins a running fleet.
+ *
+ * <p>Until then the home of a part is believed to keep it. Without a copy a router sends parts that have moved from
+ * their homes to be read again.
+ */
+final class CacheJoin {
+
+    private static final EventLog LOG = EventLog.of(CacheJoin.class);
+
+    /** Time in which a router that joins hears of most shared parts from the beacons of its peers. */
+    private static final Duration JOIN_TIME = Duration.ofSeconds(15);
+
+    /** Time for which a peer of the own zone is waited for, since copies between zones are priced. */
+    private static final Duration OWN_ZONE_TIME = Duration.ofSeconds(1);
+
+    private final ZoneName zone;
+    private final ForwardingContext forwarding;
+    private final TableCopies copies;
+    private final TimerService timers;
+    private long beganNanos;
+    private boolean joining;
+    private boolean asking;
+
+    CacheJoin(ZoneName zone, ForwardingContext forwarding, TableCopies copies, TimerService timers) {
+        this.zone = zone;
+        this.forwarding = forwarding;
+        this.copies = copies;
+        this.timers = timers;
+    }
+
+    /** Begins to ask peers. */
+    void begin() {
+        joining = true;
+        beganNanos = timers.nowNanos();
+        forwarding.caches().trustHomes(true);
+        var unused = timers.after("join time", JOIN_TIME, this::end);
+    }
+
+    /** Tells whether this router does not know yet what servers keep. */
+    boolean joining() {
+        return joining;
+    }
+
+    /** Asks a peer that was heard, if it can answer. */
+    void heard(PeerRouter peer, boolean peerJoins) {
+        boolean near = peer.zone().equals(zone) || timers.nowNanos() - beganNanos >= OWN_ZONE_TIME.toNanos();
+        if (!joining || asking || peerJoins || !near || !forwarding.stateKnown()) {
+            return;
+        }
+        asking = true;
+        copies.fetchCachedParts(peer, parts -> take(peer, parts), () -> asking = false);
+    }
+
+    private void take(PeerRouter peer, CachedParts parts) {
+        int count = 0;
+        for (CachedServer server : parts.getServersList()) {
+            int known = Math.min(server.getSharedKeysCount(), server.getTokensCount());
+            for (int i = 0; i < known && !server.getServer().isEmpty(); i++) {
+                ServerName name = new ServerName(server.getServer());
+                forwarding.serverReads(new CacheRead(name, server.getSharedKeys(i), server.getTokens(i)));
+                count++;
+            }
+        }
+        LOG.info("cached_parts_copied", "peer", peer.id(), "parts", count);
+        if (count > 0) {
+            end();
+        }
+    }
+
+    private void end() {
+        joining = false;
+        forwarding.caches().trustHomes(false);
+    }
+
+    /** Returns what this router knows. */
+    static CachedParts content(ForwardingContext forwarding) {
+        PromptCacheView caches = forwarding.caches();
+        CachedParts.Builder parts = CachedParts.newBuilder();
+        for (ServerName server : caches.servers()) {
+            CachedServer.Builder cached = CachedServer.newBuilder().setServer(server.value());
+            for (Map.Entry<Long, Integer> part : caches.partsOf(server).entrySet()) {
+                cached.addSharedKeys(part.getKey()).addTokens(part.getValue());
+            }
+            parts.addServers(cached);
+        }
+        return parts.build();
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -49,9 +49,6 @@
     /** Time for the last bytes of answers to leave before the process ends. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
-    /** Time in which a router that joins hears of most shared parts from its peers. */
-    private static final Duration JOIN_TIME = Duration.ofSeconds(15);
-
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
     private static final Duration SWEEP = Duration.ofSeconds(1);
 
@@ -71,6 +68,7 @@
     private final TableStore store;
     private final TableWatcher watcher;
     private final TableCopies copies;
+    private final CacheJoin caches;
     private final Beacons beacons;
     private final BeaconChannel beaconChannel;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -104,9 +102,10 @@
                 new Random(incarnation),
                 new StateApplier(forwarding, platform.decoder(), timers, settings.id(), this::registrationMissing),
                 () -> peers.members().size());
-        this.copies = new TableCopies(eventLoop, watcher);
-        this.beacons =
-                new Beacons(self, incarnation, settings.seeds(), forwarding, watcher, copies, timers, this::ready);
+        this.copies = new TableCopies(eventLoop, watcher, () -> CacheJoin.content(forwarding));
+        this.caches = new CacheJoin(self.zone(), forwarding, copies, timers);
+        this.beacons = new Beacons(
+                self, incarnation, settings.seeds(), forwarding, watcher, copies, caches, timers, this::ready);
         this.beaconChannel = new BeaconChannel(eventLoop, beacons::received);
     }
 
@@ -128,7 +127,7 @@
         CompletableFuture<Void> started = new CompletableFuture<>();
         eventLoop.execute(() -> {
             if (!settings.firstStart()) {
-                forwarding.joinRunningFleet(JOIN_TIME);
+                caches.begin();
             }
             watcher.start();
             register();
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconsTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconsTest.java
@@ -109,7 +109,8 @@
             forwarding = new ForwardingContext(
                     card.id(), card.zone(), timers, null, null, peers, bounds, new RouterMetrics());
             TableWatcher watcher = new TableWatcher(null, timers, new Random(1), null, () -> 2);
-            beacons = new Beacons(card, incarnation, List.of(), forwarding, watcher, null, timers, () -> true);
+            CacheJoin caches = new CacheJoin(card.zone(), forwarding, null, timers);
+            beacons = new Beacons(card, incarnation, List.of(), forwarding, watcher, null, caches, timers, () -> true);
         }
 
         private void sent(byte[] datagram, InetSocketAddress to) {
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/node/CacheJoinTest.java
@@ -0,0 +1,155 @@
+package org.coltsfootquay.router.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.RouterId;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.peer.PeerRouter;
+import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.route.CallerLimits;
+import org.coltsfootquay.decision.route.RoutingConfiguration;
+import org.coltsfootquay.decision.route.ServicePolicy;
+import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.forward.CacheRead;
+import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.forward.SharedBounds;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+import org.coltsfootquay.router.neighbor.TableCopies;
+import org.coltsfootquay.router.state.TableWatcher;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against shared prompt parts that are read again because a router has just started. */
+final class CacheJoinTest {
+
+    private static final ServerName SERVER = new ServerName("s");
+    private static final ServiceName SERVICE = new ServiceName("service");
+    private static final ZoneName ZONE = new ZoneName("zone");
+    private static final long PART = 42;
+
+    private final EventLoopGroup group = ChannelUtils.eventLoops("cache-join-test", 1);
+    private final EventLoop loop = group.next();
+    private Side running;
+    private Side joiner;
+
+    @BeforeEach
+    void start() throws Exception {
+        running = new Side("running");
+        joiner = new Side("joiner");
+        onLoop(() -> {
+            joiner.join.begin();
+            return null;
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        ChannelUtils.shutDown(group).join();
+    }
+
+    @Test
+    void partsOfAPeerAreLearned() throws Exception {
+        onLoop(() -> {
+            running.forwarding.serverReads(new CacheRead(SERVER, PART, 100));
+            joiner.join.heard(running.card, false);
+            return null;
+        });
+        awaitJoined();
+        assertTrue(onLoop(() -> joiner.forwarding.caches().keeps(SERVER, PART)));
+    }
+
+    /** The home of a part is not believed to keep it when the peers know better. */
+    @Test
+    void homesAreNotTrustedAfterACopy() throws Exception {
+        assertTrue(onLoop(() -> joiner.forwarding.caches().homeKeeps(PART + 1)));
+        partsOfAPeerAreLearned();
+        assertFalse(onLoop(() -> joiner.forwarding.caches().homeKeeps(PART + 1)));
+    }
+
+    @Test
+    void peerThatJoinsItselfIsNotAsked() throws Exception {
+        onLoop(() -> {
+            running.forwarding.serverReads(new CacheRead(SERVER, PART, 100));
+            joiner.join.heard(running.card, true);
+            return null;
+        });
+        assertTrue(onLoop(joiner.join::joining));
+    }
+
+    @Test
+    void contentKeepsTheOrderOfUse() throws Exception {
+        List<Long> keys = onLoop(() -> {
+            running.forwarding.serverReads(new CacheRead(SERVER, 1, 100));
+            running.forwarding.serverReads(new CacheRead(SERVER, 2, 100));
+            running.forwarding.serverReads(new CacheRead(SERVER, 1, 100));
+            return CacheJoin.content(running.forwarding).getServers(0).getSharedKeysList();
+        });
+        assertEquals(List.of(2L, 1L), keys);
+    }
+
+    private void awaitJoined() throws Exception {
+        long end = System.nanoTime() + Duration.ofSeconds(5).toNanos();
+        while (onLoop(joiner.join::joining) && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertFalse(onLoop(joiner.join::joining), "no copy arrived within 5 s");
+    }
+
+    private <T> T onLoop(Callable<T> task) throws Exception {
+        return loop.submit(task).get();
+    }
+
+    private final class Side {
+
+        private final PeerRouter card;
+        private final ForwardingContext forwarding;
+        private final CacheJoin join;
+
+        private Side(String name) throws Exception {
+            EventLoopTimers timers = new EventLoopTimers(loop);
+            TableWatcher watcher = new TableWatcher(null, timers, new Random(1), null, () -> 2);
+            PeerRouter own = new PeerRouter(new RouterId(name), ZONE, "127.0.0.1", 1, "127.0.0.1:1");
+            forwarding = new ForwardingContext(
+                    own.id(),
+                    ZONE,
+                    timers,
+                    null,
+                    null,
+                    new PeerTable(own),
+                    new SharedBounds(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
+                    new RouterMetrics());
+            TableCopies copies = new TableCopies(loop, watcher, () -> CacheJoin.content(forwarding));
+            InetSocketAddress address = (InetSocketAddress)
+                    copies.listen("127.0.0.1", 0).sync().channel().localAddress();
+            card = new PeerRouter(own.id(), ZONE, "127.0.0.1", address.getPort(), "127.0.0.1:1");
+            join = new CacheJoin(ZONE, forwarding, copies, timers);
+            RoutingConfiguration configuration = new RoutingConfiguration(
+                    1,
+                    List.of(),
+                    List.of(new ServicePolicy(SERVICE, 100, 0, Duration.ZERO, 10_000)),
+                    Map.of(),
+                    true,
+                    new CallerLimits(8192, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+            BackendEntry entry = new BackendEntry(SERVER, SERVICE, "127.0.0.1", 1, ZONE, 8, false, Duration.ZERO, 1);
+            onLoop(() -> {
+                forwarding.registry().put(entry, System.nanoTime());
+                forwarding.serversKnown();
+                return forwarding.apply(configuration);
+            });
+        }
+    }
+}
