Split the log lines and the reservation off the request relay

RelayLog writes the lines of one request, Reservation holds its place at a server and gives it back once.

--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -0,0 +1,113 @@
+package org.coltsfootquay.router.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.route.Route;
+import org.coltsfootquay.decision.selection.Candidate;
+import org.coltsfootquay.router.log.EventLog;
+
+/** Log lines of one request; each names the request, so that {@code explain} finds them. */
+final class RelayLog {
+
+    private static final EventLog LOG = EventLog.of(RequestRelay.class);
+
+    private static final String NONE = "none";
+
+    private final String requestId;
+    private final Route route;
+    private final String workspace;
+
+    RelayLog(String requestId, Route route, Optional<WorkspaceId> workspace) {
+        this.requestId = requestId;
+        this.route = route;
+        this.workspace = workspace.map(WorkspaceId::value).orElse(NONE);
+    }
+
+    void notAdmitted(Candidate candidate) {
+        LOG.info(
+                "request_not_admitted",
+                "request",
+                requestId,
+                "server",
+                candidate.entry().server(),
+                "queueMs",
+                candidate.queue().toMillis(),
+                "expectedMs",
+                candidate.expected().toMillis(),
+                "targetMs",
+                route.target().toMillis(),
+                "workspace",
+                workspace);
+    }
+
+    void unreachable(ServerName server, String reason) {
+        LOG.warn("server_unreachable", "request", requestId, "server", server, "reason", reason);
+    }
+
+    void sent(Candidate candidate, int send, int load, long configuration) {
+        LOG.info(
+                "request_sent",
+                "request",
+                requestId,
+                "server",
+                candidate.entry().server(),
+                "send",
+                send,
+                "expectedMs",
+                candidate.expected().toMillis(),
+                "newTokens",
+                candidate.newTokens(),
+                "load",
+                load,
+                "configuration",
+                configuration);
+    }
+
+    void answerBroken(ServerName server, String cause, Optional<String> lastEvent) {
+        LOG.warn(
+                "answer_broken",
+                "request",
+                requestId,
+                "server",
+                server,
+                "cause",
+                cause,
+                "events",
+                lastEvent.orElse(NONE));
+    }
+
+    void serverRefused(ServerName server, int status) {
+        LOG.info("server_refused", "request", requestId, "server", server, "status", status);
+    }
+
+    void serverSilent(ServerName server) {
+        LOG.warn("server_silent", "request", requestId, "server", server);
+    }
+
+    void repeated(String cause, int sends) {
+        LOG.info("request_repeated", "request", requestId, "cause", cause, "sends", sends);
+    }
+
+    void done(String outcome, int status, int sends, Optional<Duration> first, Duration total) {
+        LOG.info(
+                "request_done",
+                "request",
+                requestId,
+                "outcome",
+                outcome,
+                "status",
+                status,
+                "route",
+                route.name(),
+                "workspace",
+                workspace,
+                "sends",
+                sends,
+                "firstMs",
+                first.map(Duration::toMillis).orElse(-1L),
+                "totalMs",
+                total.toMillis());
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -18,11 +18,10 @@
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.route.RouteKind;
+import org.coltsfootquay.decision.route.RoutingConfiguration;
 import org.coltsfootquay.decision.route.ServicePolicy;
 import org.coltsfootquay.decision.selection.Candidate;
-import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.decision.timer.TimerService.Subscription;
-import org.coltsfootquay.router.log.EventLog;
 
 /**
  * One request of a caller from its arrival to its final answer; runs on the event loop.
@@ -32,8 +31,6 @@
  */
 final class RequestRelay implements ServerAnswerListener {
 
-    private static final EventLog LOG = EventLog.of(RequestRelay.class);
-
     /** Time before the end of a request's time at which it gets its final answer: transit to the caller. */
     private static final Duration FINAL_MARGIN = Duration.ofMillis(40);
 
@@ -49,8 +46,6 @@
     /** Attempts to reach a server before a request is refused. */
     private static final int MAX_CONNECT_FAILURES = 4;
 
-    private static final double NANOS_PER_MILLI = 1e6;
-
     /** A generated token counts as two tokens read; source: the operator's measure of shares. */
     private static final double OUTPUT_WEIGHT = 2;
 
@@ -69,11 +64,12 @@
     private final ServicePolicy service;
     private final long arrivedNanos;
     private final long expiresNanos;
+    private final RelayLog log;
+    private final Reservation reservation;
     private final Set<ServerName> tried = new HashSet<>();
     private Subscription expiry;
     private Subscription silence;
     private Candidate candidate;
-    private ServerLoad charged = ServerLoad.NONE;
     private ServerConnection connection;
     private HttpResponse answerHead;
     private AnswerFacts answerFacts;
@@ -108,6 +104,8 @@
         this.workspace = workspace;
         this.service = service;
         this.arrivedNanos = arrivedNanos;
+        this.log = new RelayLog(facts.requestId(), route, workspace);
+        this.reservation = new Reservation(context.loads());
         Duration limit = facts.deadline()
                 .filter(deadline -> deadline.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -158,7 +156,7 @@
             giveUp("no_room", RetryAfter.afterWait(candidate.queue(), route.target()));
             return;
         }
-        charge();
+        reservation.make(candidate, facts.prompt());
         BackendEntry target = candidate.entry();
         context.connections().acquire(target, this::send, reason -> notConnected(target, reason));
     }
@@ -180,20 +178,7 @@
                         candidate.queue().plusNanos(waited),
                         route.target());
         if (!admits) {
-            LOG.info(
-                    "request_not_admitted",
-                    "request",
-                    facts.requestId(),
-                    "server",
-                    candidate.entry().server(),
-                    "queueMs",
-                    candidate.queue().toMillis(),
-                    "expectedMs",
-                    candidate.expected().toMillis(),
-                    "targetMs",
-                    route.target().toMillis(),
-                    "workspace",
-                    workspace.map(WorkspaceId::value).orElse("none"));
+            log.notAdmitted(candidate);
         }
         return admits;
     }
@@ -207,10 +192,10 @@
         if (done) {
             return;
         }
-        discharge();
+        reservation.release();
         context.health().unreachable(target.server(), now());
         context.metrics().count("coltsfootquay_server_connect_failures_total");
-        LOG.warn("server_unreachable", "request", facts.requestId(), "server", target.server(), "reason", reason);
+        log.unreachable(target.server(), reason);
         connectFailures++;
         if (connectFailures >= MAX_CONNECT_FAILURES) {
             giveUp("unreachable", RetryAfter.NO_SERVER);
@@ -229,7 +214,7 @@
         if (!context.chooser().claim(target, service, context.peers().members(), now)) {
             // The server began to leave, or its cold allowance was used, while the connection was made.
             context.connections().released(ready);
-            discharge();
+            reservation.release();
             connectFailures++;
             if (connectFailures >= MAX_CONNECT_FAILURES) {
                 giveUp("no_server", RetryAfter.NO_SERVER);
@@ -251,22 +236,11 @@
         if (sends == 1) {
             context.demands().sent(service.name(), workspace.orElse(NO_WORKSPACE), size(), now);
         }
-        LOG.info(
-                "request_sent",
-                "request",
-                facts.requestId(),
-                "server",
-                target.server(),
-                "send",
+        log.sent(
+                candidate,
                 sends,
-                "expectedMs",
-                candidate.expected().toMillis(),
-                "newTokens",
-                candidate.newTokens(),
-                "load",
                 context.loads().total(target.server()).requests(),
-                "configuration",
-                context.configuration().map(c -> c.version()).orElse(0L));
+                context.configuration().map(RoutingConfiguration::version).orElse(0L));
         watchSilence();
         ready.send(method, uri, forServer, body, facts.requestId(), this);
     }
@@ -306,7 +280,7 @@
         }
         if (firstEventNanos == 0) {
             firstEventNanos = now();
-            readingDone();
+            reservation.promptRead();
             context.health().answered(candidate.entry().server(), true, firstEventNanos);
             context.metrics()
                     .latency(
@@ -359,16 +333,7 @@
         if ("reset".equals(cause) || "closed".equals(cause)) {
             context.health().broken(server, now());
         }
-        LOG.warn(
-                "answer_broken",
-                "request",
-                facts.requestId(),
-                "server",
-                server,
-                "cause",
-                cause,
-                "events",
-                streaming ? events.lastId().orElse("none") : "none");
+        log.answerBroken(server, cause, streaming ? events.lastId() : Optional.empty());
         if (mayRepeat()) {
             repeat(cause);
         } else if (streaming) {
@@ -379,10 +344,10 @@
     }
 
     private void notExecuted(ServerName server, HttpResponseStatus status) {
-        discharge();
+        reservation.release();
         unresolvedSends--;
         context.metrics().count("coltsfootquay_server_refusals_total");
-        LOG.info("server_refused", "request", facts.requestId(), "server", server, "status", status.code());
+        log.serverRefused(server, status.code());
         if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             // Another server has taken the address; connections to it are of no use.
             context.connections().dropIdle(server);
@@ -414,12 +379,12 @@
     }
 
     private void repeat(String cause) {
-        discharge();
+        reservation.release();
         if (events != null) {
             events.rest();
         }
         context.metrics().count("coltsfootquay_repeats_total");
-        LOG.info("request_repeated", "request", facts.requestId(), "cause", cause, "sends", sends);
+        log.repeated(cause, sends);
         trySend();
     }
 
@@ -468,26 +433,14 @@
             connection.abandon();
             connection = null;
         }
-        discharge();
+        reservation.release();
         context.metrics().count("coltsfootquay_requests_total{outcome=\"" + outcome + "\"}");
-        LOG.info(
-                "request_done",
-                "request",
-                facts.requestId(),
-                "outcome",
+        log.done(
                 outcome,
-                "status",
                 status,
-                "route",
-                route.name(),
-                "workspace",
-                workspace.map(WorkspaceId::value).orElse("none"),
-                "sends",
                 sends,
-                "firstMs",
-                firstEventNanos == 0 ? -1 : (long) ((firstEventNanos - arrivedNanos) / NANOS_PER_MILLI),
-                "totalMs",
-                (long) ((now() - arrivedNanos) / NANOS_PER_MILLI));
+                firstEventNanos == 0 ? Optional.empty() : Optional.of(Duration.ofNanos(firstEventNanos - arrivedNanos)),
+                Duration.ofNanos(now() - arrivedNanos));
     }
 
     private void watchSilence() {
@@ -506,7 +459,7 @@
             return;
         }
         ServerName server = candidate.entry().server();
-        LOG.warn("server_silent", "request", facts.requestId(), "server", server);
+        log.serverSilent(server);
         context.health().answered(server, false, now());
         connection.abandon();
         connection = null;
@@ -520,27 +473,6 @@
         }
     }
 
-    private void charge() {
-        charged = ServerLoad.ofRequest(facts.prompt(), candidate.newTokens());
-        context.loads().change(candidate.entry().server(), charged);
-    }
-
-    private void readingDone() {
-        ServerLoad read = new ServerLoad(0, -charged.unreadTokens(), 0);
-        context.loads().change(candidate.entry().server(), read);
-        charged = charged.plus(read);
-    }
-
-    private void discharge() {
-        if (candidate != null) {
-            context.loads()
-                    .change(
-                            candidate.entry().server(),
-                            new ServerLoad(-charged.requests(), -charged.unreadTokens(), -charged.heldTokens()));
-        }
-        charged = ServerLoad.NONE;
-    }
-
     private long now() {
         return context.timers().nowNanos();
     }
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ReservationTest.java
@@ -0,0 +1,70 @@
+package org.coltsfootquay.router.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.selection.Candidate;
+import org.coltsfootquay.decision.selection.LoadBoard;
+import org.coltsfootquay.decision.selection.Prompt;
+import org.coltsfootquay.decision.selection.PromptPart;
+import org.coltsfootquay.decision.selection.ServerLoad;
+import org.junit.jupiter.api.Test;
+
+/** Guards against loads that stay on a server after its requests, so that it gets fewer and fewer. */
+final class ReservationTest {
+
+    private static final Prompt PROMPT =
+            new Prompt(List.of(new PromptPart("shared", 100), new PromptPart("own", 30)), 130, 10);
+
+    private final LoadBoard loads = new LoadBoard();
+    private final Reservation reservation = new Reservation(loads);
+
+    @Test
+    void placeIsTakenWithTheTokensToRead() {
+        reservation.make(candidate("a", 130), PROMPT);
+        assertEquals(new ServerLoad(1, 130, 40), loads.total(new ServerName("a")));
+    }
+
+    @Test
+    void promptThatWasReadIsNoLongerUnread() {
+        reservation.make(candidate("a", 130), PROMPT);
+        reservation.promptRead();
+        reservation.promptRead();
+        assertEquals(new ServerLoad(1, 0, 40), loads.total(new ServerName("a")));
+    }
+
+    @Test
+    void releaseTwiceGivesThePlaceBackOnce() {
+        reservation.make(candidate("a", 130), PROMPT);
+        reservation.release();
+        reservation.release();
+        assertEquals(ServerLoad.NONE, loads.total(new ServerName("a")));
+    }
+
+    @Test
+    void nextPlaceReplacesTheOneBefore() {
+        reservation.make(candidate("a", 130), PROMPT);
+        reservation.make(candidate("b", 30), PROMPT);
+        assertEquals(ServerLoad.NONE, loads.total(new ServerName("a")));
+        assertEquals(new ServerLoad(1, 30, 40), loads.total(new ServerName("b")));
+    }
+
+    private static Candidate candidate(String server, long newTokens) {
+        BackendEntry entry = new BackendEntry(
+                new ServerName(server),
+                new ServiceName("service"),
+                "10.0.0.1",
+                80,
+                new ZoneName("z"),
+                8,
+                false,
+                Duration.ZERO,
+                1);
+        return new Candidate(entry, newTokens, Duration.ZERO, Duration.ZERO);
+    }
+}
