Pause longer after changes of servers and failed calls in a large fleet

Change: the pause after a change of servers is 20 ms a router, 1.2 s at most (a server that leaves serves for 3 s after its change); the pause after a failed call grows with the fleet up to the 0.8 s that it had after several failures. Updates of loads are bounded to 400 datagrams a second from one router.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -30,6 +30,9 @@
     /** Routers up to which beacons have the shortest period; a larger fleet sends less often, to bound its cost. */
     private static final int SMALL_FLEET = 16;
 
+    /** Datagrams with updates that a router sends in a second at most; bounds their cost in a very large fleet. */
+    private static final int MAX_UPDATES_PER_SECOND = 400;
+
     /** Periods without a beacon after which a peer gets no callers: four beacons were lost in a row. */
     private static final double SILENT_PERIODS = 4.5;
 
@@ -90,6 +93,19 @@
         return Duration.ofMillis(Math.min(LONGEST_PERIOD.toMillis(), Math.max(SHORTEST_PERIOD.toMillis(), millis)));
     }
 
+    /**
+     * Returns the time between two updates of loads by one router.
+     *
+     * @return period, zero while beacons are as frequent as updates would be
+     */
+    public Duration updatePeriod() {
+        if (beaconPeriod().compareTo(SHORTEST_PERIOD) <= 0) {
+            return Duration.ZERO;
+        }
+        long millis = Duration.ofSeconds(members().size()).toMillis() / MAX_UPDATES_PER_SECOND;
+        return Duration.ofMillis(Math.max(SHORTEST_PERIOD.toMillis(), millis));
+    }
+
     /**
      * Returns the time after which a peer that was not heard gets no callers.
      *
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -234,7 +234,7 @@
             return;
         }
         boolean ask = lags.computeIfAbsent(table, name -> new LagMonitor())
-                .heard(theirs, ours, watcher.changePause(), timers.nowNanos());
+                .heard(theirs, ours, watcher.changePause(table), timers.nowNanos());
         if (ask && !fetching.getOrDefault(table, false)) {
             fetching.put(table, true);
             copies.fetch(peer, table, () -> fetching.put(table, false));
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -132,7 +132,7 @@
             watcher.start();
             register();
             sendBeacon();
-            timers.every("load update", PeerTable.SHORTEST_PERIOD, this::sendUpdate);
+            sendUpdate();
             timers.every("sweep", SWEEP, this::sweep);
         });
         int[] left = {bound.size()};
@@ -241,9 +241,11 @@
     }
 
     private void sendUpdate() {
-        if (peers.beaconPeriod().compareTo(PeerTable.SHORTEST_PERIOD) > 0) {
+        Duration period = peers.updatePeriod();
+        if (!period.isZero()) {
             beacons.sendUpdate(beaconChannel::send);
         }
+        timers.after("load update", period.isZero() ? SWEEP : period, this::sendUpdate);
     }
 
     /** Registers again when another router removed the row of this one, which it had not heard for long. */
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -44,6 +44,12 @@
     /** Longest pause after a change; a small part of the shortest bound on changes, 3 s for the configuration. */
     private static final Duration LONGEST_CHANGE_PAUSE = Duration.ofMillis(600);
 
+    /**
+     * Factor on the pause for the table of servers: many change together when servers start or a release goes on, and a
+     * server that leaves serves for 3 s after its change.
+     */
+    private static final int SERVER_PAUSE_FACTOR = 2;
+
     /** Pause after a change of the table of routers: a router that joins is heard by its beacons. */
     private static final Duration ROUTER_PAUSE = Duration.ofSeconds(10);
 
@@ -118,11 +124,16 @@
     /**
      * Returns the time for which changes may be hidden from this router by its pause after a change.
      *
+     * @param table table
      * @return pause, which grows with the number of routers
      */
-    public Duration changePause() {
-        Duration pause = PAUSE_PER_ROUTER.multipliedBy(routers.getAsInt());
-        return pause.compareTo(LONGEST_CHANGE_PAUSE) < 0 ? pause : LONGEST_CHANGE_PAUSE;
+    public Duration changePause(WatchedTable table) {
+        Duration pause = shorter(PAUSE_PER_ROUTER.multipliedBy(routers.getAsInt()), LONGEST_CHANGE_PAUSE);
+        return switch (table) {
+            case OPERATOR -> pause;
+            case SERVERS -> pause.multipliedBy(SERVER_PAUSE_FACTOR);
+            case ROUTERS -> ROUTER_PAUSE;
+        };
     }
 
     /** Makes no more calls. */
@@ -177,8 +188,14 @@
             LOG.warn("store_lost", "table", table, "reason", reason);
             listener.storeLost();
         }
-        Duration pause = FIRST_PAUSE.multipliedBy(1L << Math.min(MAX_DOUBLINGS, failuresInRow / 3));
-        return pause.compareTo(LONGEST_PAUSE) < 0 ? pause : LONGEST_PAUSE;
+        // Failed calls are priced too, and in a large fleet many routers fail at the same time.
+        long factor =
+                (long) Math.max(1, routers.getAsInt() / SMALL_FLEET) << Math.min(MAX_DOUBLINGS, failuresInRow / 3);
+        return shorter(FIRST_PAUSE.multipliedBy(factor), LONGEST_PAUSE);
+    }
+
+    private static Duration shorter(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
     }
 
     private final class Watch {
@@ -238,8 +255,7 @@
                 if (rows.rows().isEmpty()) {
                     watch();
                 } else {
-                    Duration pause = table == WatchedTable.ROUTERS ? ROUTER_PAUSE : changePause();
-                    var unused = timers.after("table watch", pause, this::watch);
+                    var unused = timers.after("table watch", changePause(table), this::watch);
                 }
             } else if (reply instanceof StoreReply.HistoryGone) {
                 LOG.info("store_history_gone", "table", table, "revision", mirror.revision());
