Send no request on whose caller left while the router was busy

The end of the connection is read a turn of the event loop later than the request, so a request whose caller had left was sent on over a pooled connection. Ruled out: requests held until the state is known (they are checked for their caller).

The time of a request counts from when it was read, also if it waited for the state. Addresses of peers are parsed once and not for each datagram.

Before: ForwardingTest.requestWhoseCallerLeftWhileTheRouterWasBusyIsNotSentOn failed (the request reached the server). After: it passes.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -188,19 +188,20 @@
     private void begin(CallerRequestBytes request, HttpRequest requestHead, boolean keep) {
         busy = true;
         keepAlive = keep;
+        long arrivedNanos = forwarding.timers().nowNanos();
+        Runnable start = () -> {
+            if (channel.channel().isActive()) {
+                check(request, requestHead, arrivedNanos);
+            }
+        };
         if (forwarding.stateKnown()) {
-            check(request, requestHead);
+            forwarding.loopDelay().whenRead(start);
         } else {
-            forwarding.whenStateKnown(STATE_WAIT, () -> {
-                if (channel.channel().isActive()) {
-                    check(request, requestHead);
-                }
-            });
+            forwarding.whenStateKnown(STATE_WAIT, start);
         }
     }
 
-    private void check(CallerRequestBytes request, HttpRequest requestHead) {
-        long now = forwarding.timers().nowNanos();
+    private void check(CallerRequestBytes request, HttpRequest requestHead, long arrivedNanos) {
         Optional<RoutingConfiguration> configuration = forwarding.configuration();
         RequestFacts facts;
         try {
@@ -251,7 +252,7 @@
             return;
         }
         current = new RequestRelay(
-                forwarding, this, request, facts, allowed.route(), allowed.workspace(), service.get(), now);
+                forwarding, this, request, facts, allowed.route(), allowed.workspace(), service.get(), arrivedNanos);
         current.start();
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -40,6 +40,7 @@
     private final ServerConnections connections;
     private final PeerTable peers;
     private final RouterMetrics metrics;
+    private final LoopDelay loopDelay;
     private final BackendRegistry registry = new BackendRegistry();
     private final LoadBoard loads = new LoadBoard();
     private final PromptCacheView caches = new PromptCacheView();
@@ -81,6 +82,7 @@
         this.connections = connections;
         this.peers = peers;
         this.metrics = metrics;
+        this.loopDelay = new LoopDelay(timers);
         this.demands = new DemandBoard(timers.nowNanos());
         this.retries = new FleetRetryShare(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindow());
         this.chooser = new ServerChooser(
@@ -274,6 +276,10 @@
         return chooser;
     }
 
+    LoopDelay loopDelay() {
+        return loopDelay;
+    }
+
     TimerService timers() {
         return timers;
     }
--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.coltsfootquay.decision.admission.Demand;
 import org.coltsfootquay.decision.common.RouterId;
@@ -42,6 +43,9 @@
     private final CacheJoin caches;
     private final TimerService timers;
     private final BooleanSupplier ready;
+    /** Addresses of peers, parsed once; a large fleet sends hundreds of datagrams a second. */
+    private final Map<PeerRouter, InetSocketAddress> addresses = new HashMap<>();
+
     private final Map<RouterId, Life> lives = new HashMap<>();
     private final Map<Long, RouterId> routersByIncarnation = new HashMap<>();
     private final Map<WatchedTable, LagMonitor> lags = new EnumMap<>(WatchedTable.class);
@@ -130,12 +134,17 @@
 
     private boolean sendToPeers(BeaconSender channel, byte[] bytes) {
         List<PeerRouter> targets = forwarding.peers().beaconTargets();
+        addresses.keySet().retainAll(Set.copyOf(targets));
         for (PeerRouter target : targets) {
-            channel.send(bytes, new InetSocketAddress(target.host(), target.peerPort()));
+            channel.send(bytes, addresses.computeIfAbsent(target, Beacons::address));
         }
         return !targets.isEmpty();
     }
 
+    private static InetSocketAddress address(PeerRouter peer) {
+        return new InetSocketAddress(peer.host(), peer.peerPort());
+    }
+
     private static void addLoads(Beacon.Builder beacon, Map<ServerName, ServerLoad> loads) {
         loads.forEach((server, load) -> beacon.addLoads(BeaconLoad.newBuilder()
                 .setServer(server.value())
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -96,6 +96,16 @@
                 .sync();
     }
 
+    /** Keeps the event loop busy for a time. */
+    void block(Duration time) {
+        loop.execute(() -> {
+            long end = System.nanoTime() + time.toNanos();
+            while (System.nanoTime() < end) {
+                Thread.onSpinWait();
+            }
+        });
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -64,6 +65,35 @@
         fixture.close();
     }
 
+    /**
+     * Seen with ritarkiv-sv-grown trouble-1: routers that had just started read requests seconds late and sent them on
+     * before they read that the callers had left.
+     */
+    @Test
+    void requestWhoseCallerLeftWhileTheRouterWasBusyIsNotSentOn() throws Exception {
+        ScriptedServer server = serve((head, output, socket) -> output.write(signed(head, "hello")));
+        fixture.call("POST", "/once/first", "first");
+        try (Socket caller = fixture.connect()) {
+            fixture.block(Duration.ofMillis(400));
+            String request = String.join(
+                    "\r\n",
+                    "POST /once/late HTTP/1.1",
+                    "Host: host",
+                    "X-Id: late",
+                    "X-Key: good",
+                    "Content-Length: 0",
+                    "",
+                    "");
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        }
+        fixture.call("POST", "/once/next", "next");
+        assertEquals(
+                List.of("POST /once/first HTTP/1.1", "POST /once/next HTTP/1.1"),
+                server.heads.stream()
+                        .map(head -> head.lines().findFirst().orElse(""))
+                        .toList());
+    }
+
     /** Failure guarded against: a body or signature that is changed on the way. */
     @Test
     void answerIsPassedOnUnchanged() throws Exception {
