--- a/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/Beacons.java
@@ -43,6 +43,7 @@
     private final CacheJoin caches;
     private final TimerService timers;
     private final BooleanSupplier ready;
+
     /** Addresses of peers, parsed once; a large fleet sends hundreds of datagrams a second. */
     private final Map<PeerRouter, InetSocketAddress> addresses = new HashMap<>();
 
@@ -96,6 +97,7 @@
         for (WatchedTable table : WatchedTable.values()) {
             beacon.addTableRevisions(watcher.mirror(table).changeRevision());
         }
+        // A full beacon states all loads, so the next update starts from here.
         forwarding.loads().takeChanged();
         addLoads(beacon, forwarding.loads().own());
         addNewReads(beacon);
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/LoopDelayTest.java
@@ -0,0 +1,73 @@
+package org.coltsfootquay.router.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that start before the end of their connection was read, and against a delay without need. */
+final class LoopDelayTest {
+
+    private final StalledTimers timers = new StalledTimers();
+    private final LoopDelay delay = new LoopDelay(timers);
+    private int runs;
+
+    @Test
+    void taskRunsAtOnceWhileTheLoopKeepsUp() {
+        timers.now = Duration.ofMillis(150).toNanos();
+        delay.whenRead(() -> runs++);
+        assertEquals(1, runs);
+    }
+
+    @Test
+    void taskRunsAfterTwoTurnsWhenTheLoopIsBehind() {
+        timers.now = Duration.ofMillis(151).toNanos();
+        delay.whenRead(() -> runs++);
+        timers.turn();
+        assertEquals(0, runs);
+        timers.turn();
+        assertEquals(1, runs);
+    }
+
+    @Test
+    void tickAfterAStallEndsTheDelay() {
+        timers.now = Duration.ofSeconds(3).toNanos();
+        timers.tick.run();
+        delay.whenRead(() -> runs++);
+        assertEquals(1, runs);
+    }
+
+    /** Timers of an event loop that does not turn until the test says so. */
+    private static final class StalledTimers implements TimerService {
+
+        private final Deque<Runnable> tasks = new ArrayDeque<>();
+        private Runnable tick;
+        private long now;
+
+        @Override
+        public long nowNanos() {
+            return now;
+        }
+
+        @Override
+        public Subscription every(String name, Duration period, Runnable task) {
+            tick = task;
+            return () -> {};
+        }
+
+        @Override
+        public Subscription after(String name, Duration time, Runnable task) {
+            tasks.add(task);
+            return () -> {};
+        }
+
+        private void turn() {
+            Deque<Runnable> due = new ArrayDeque<>(tasks);
+            tasks.clear();
+            due.forEach(Runnable::run);
+        }
+    }
+}
