Keep requests back until the event loop has caught up

A connection made during a stall is accepted in one turn and read in the next; the late tick ran between them and ended the delay, so the request was sent on before the end of its connection was read.

Change: a late tick keeps the delay until a tick is in time again.

--- a/router/src/main/java/org/coltsfootquay/router/forward/LoopDelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/LoopDelay.java
@@ -17,10 +17,22 @@
     private final TimerService timers;
     private long tickedNanos;
 
+    /** True from a late tick to the next one in time: sockets are read in the turns after the late tick. */
+    private boolean lateTick;
+
     LoopDelay(TimerService timers) {
         this.timers = timers;
         this.tickedNanos = timers.nowNanos();
-        timers.every("loop delay", TICK, () -> tickedNanos = timers.nowNanos());
+        timers.every("loop delay", TICK, this::tick);
+    }
+
+    private void tick() {
+        lateTick = overdue();
+        tickedNanos = timers.nowNanos();
+    }
+
+    private boolean overdue() {
+        return timers.nowNanos() - tickedNanos > TICK.plus(BEHIND).toNanos();
     }
 
     /**
@@ -30,7 +42,7 @@
      * waited in the socket would be sent on.
      */
     void whenRead(Runnable task) {
-        if (timers.nowNanos() - tickedNanos <= TICK.plus(BEHIND).toNanos()) {
+        if (!lateTick && !overdue()) {
             task.run();
             return;
         }
