Estimate the time to the first event by what engines reach

Cause: prompt tokens counted as waiting until their first event arrived, with the nominal figures of one site's engines. Change: a line of time over tokens for each service, a factor for each engine, and a backlog that drains at the learned speed, from the first events of all routers. Prompts whose first event is overdue count as waiting. A router announces a prompt when it sends it instead of at the next periodic update. Admission compares the wait with the time that the target allows beyond the constant part of the latency. A full batch costs the time until a place is free.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
@@ -15,15 +15,16 @@
      * @param tokens size of the request
      * @param demands demands of all workspaces for the service, including the requested tokens of this request;
      *     evaluated only if the decision depends on them
-     * @param queueTime expected wait behind other requests; excludes the processing time of the request itself, so
-     *     that large requests are not rejected more often than small ones
-     * @param target target of the route for the time to the first event
+     * @param waitTime expected wait behind other requests; excludes the processing time of the request itself, so that
+     *     large requests are not rejected more often than small ones
+     * @param allowedTime time to the first event that the target of the route allows, besides the constant latency of
+     *     the server
      * @return true if the request may be dispatched
      */
     boolean admits(
             WorkspaceId workspace,
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
-            Duration queueTime,
-            Duration target);
+            Duration waitTime,
+            Duration allowedTime);
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -19,10 +19,10 @@
      * Fraction of the target above which workspaces over their fair share are rejected; with 0.35 and 0.5, queues grew
      * until requests of other workspaces missed the target.
      */
-    private static final double CONTENTION_THRESHOLD = 0.2;
+    private static final double CONTENTION_THRESHOLD = 0.1;
 
     /** Fraction of the target above which every request is rejected; the rest is for prefill of the request itself. */
-    private static final double OVERLOAD_THRESHOLD = 0.65;
+    private static final double OVERLOAD_THRESHOLD = 0.45;
 
     /** Factor by which a workspace may exceed its fair share; allows for the age of the reports of other routers. */
     private static final double SHARE_TOLERANCE = 1.05;
@@ -37,9 +37,9 @@
             WorkspaceId workspace,
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
-            Duration queueTime,
-            Duration target) {
-        double waitFraction = (double) queueTime.toNanos() / target.toNanos();
+            Duration waitTime,
+            Duration allowedTime) {
+        double waitFraction = (double) waitTime.toNanos() / Math.max(1, allowedTime.toNanos());
         if (waitFraction <= CONTENTION_THRESHOLD) {
             return true;
         }
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/latency/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of how long model engines take until the first event of a response. */
+package org.coltsfootquay.decision.latency;
--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -24,6 +24,9 @@
     /** Minimum time between two beacons of a router, and between two load updates in a large fleet. */
     public static final Duration MIN_PERIOD = Duration.ofMillis(200);
 
+    /** Minimum time between two load updates in a small fleet; requests that arrive together share an update. */
+    private static final Duration MIN_UPDATE_INTERVAL = Duration.ofMillis(15);
+
     /** Maximum time between two beacons; bounds how long callers are directed to a dead router in a large fleet. */
     public static final Duration MAX_PERIOD = Duration.ofSeconds(1);
 
@@ -106,6 +109,16 @@
         return Duration.ofMillis(Math.max(MIN_PERIOD.toMillis(), millis));
     }
 
+    /**
+     * Returns the minimum time between two load updates that follow the dispatch of a request.
+     *
+     * @return time; grows with the number of routers
+     */
+    public Duration minUpdateInterval() {
+        long millis = Duration.ofSeconds(members().size()).toMillis() / MAX_UPDATES_PER_SECOND;
+        return Duration.ofMillis(Math.max(MIN_UPDATE_INTERVAL.toMillis(), millis));
+    }
+
     /**
      * Returns the time without a beacon after which callers are not directed to a peer.
      *
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
@@ -52,20 +52,19 @@
      * Selects a server.
      *
      * @param service service of the request
-     * @param prompt prompt of the request
+     * @param request request
      * @param tried servers that the request was sent to before; they are never selected
      * @param selector selector among the eligible servers
      * @param routers all registered routers
-     * @param nowNanos current time
      * @return the selected server, or empty if no server may get the request now
      */
     public Optional<SelectedServer> select(
             ServicePolicy service,
-            Prompt prompt,
+            SelectionRequest request,
             Set<ServerName> tried,
             ServerSelector selector,
-            List<RouterId> routers,
-            long nowNanos) {
+            List<RouterId> routers) {
+        long nowNanos = request.nowNanos();
         List<BackendEntry> eligible = new ArrayList<>(registry.eligible(service.name(), nowNanos));
         eligible.removeIf(entry -> tried.contains(entry.server()));
         List<BackendEntry> allowed = eligible.stream()
@@ -75,7 +74,7 @@
         List<BackendEntry> healthy = allowed.stream()
                 .filter(entry -> !health.isAvoided(entry.server(), nowNanos))
                 .toList();
-        return selector.select(healthy.isEmpty() ? allowed : healthy, prompt);
+        return selector.select(healthy.isEmpty() ? allowed : healthy, request);
     }
 
     /**
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/LeastLoadedSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/LeastLoadedSelector.java
@@ -1,6 +1,5 @@
 package org.coltsfootquay.decision.selection;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -48,7 +47,7 @@
     }
 
     @Override
-    public Optional<SelectedServer> select(List<BackendEntry> candidates, Prompt prompt) {
+    public Optional<SelectedServer> select(List<BackendEntry> candidates, SelectionRequest request) {
         BackendEntry best = null;
         double bestCost = Double.MAX_VALUE;
         for (BackendEntry entry : candidates) {
@@ -61,6 +60,6 @@
                 bestCost = cost;
             }
         }
-        return Optional.ofNullable(best).map(entry -> new SelectedServer(entry, 0, Duration.ZERO, Duration.ZERO));
+        return Optional.ofNullable(best).map(SelectedServer::withoutEstimate);
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -10,50 +10,47 @@
 import org.coltsfootquay.decision.common.HashUtils;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.latency.EngineLatencyModel;
+import org.coltsfootquay.decision.latency.PrefillBacklog;
 
 /**
- * Selects the model engine with the lowest cost, based on the expected time to the first token.
+ * Selects the model engine with the lowest cost, based on the expected time to the first event.
  *
  * <p>Suits workloads in which most of a prompt is shared with other requests. By rendezvous hashing, all routers prefer
- * the same home engine for a shared part without exchanging messages. They use another engine when the prefill queue
- * of the home takes longer than prefilling the shared part elsewhere.
+ * the same home engine for a shared part without exchanging messages. They use another engine when the wait at the home
+ * takes longer than prefilling the shared part elsewhere.
  */
 public final class PromptLocalitySelector implements ServerSelector {
 
-    /** Prefill rate of an engine in tokens per millisecond; source: the engines' data sheet. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 54.6;
-
-    /** Time from the end of prefill to the first token, milliseconds; source: the engines' data sheet. */
-    private static final double FIRST_TOKEN_MILLIS = 61;
-
-    /** Estimated delay that each running request adds to the first token, milliseconds. */
-    private static final double RUNNING_REQUEST_MILLIS = 1.5;
-
     /**
      * Weight of a cache miss, as a multiple of its prefill time and in addition to it: the miss delays later requests
      * and evicts other parts from the cache.
      */
     private static final double CACHE_MISS_WEIGHT = 6;
 
-    /** Penalty of an engine that is not the home of the shared part, milliseconds; decides where a new part is read. */
-    private static final double NOT_HOME_PENALTY_MILLIS = 40;
+    /** Penalty of an engine that is not the home of the shared part, fraction of the target; places a new part. */
+    private static final double NOT_HOME_PENALTY = 0.05;
+
+    /** Penalty of an engine in another zone, fraction of the target: weighs cross-zone traffic against the wait. */
+    private static final double CROSS_ZONE_PENALTY = 0.015;
 
-    /** Penalty of an engine in another zone, milliseconds: weighs the price of cross-zone traffic against the wait. */
-    private static final double CROSS_ZONE_PENALTY_MILLIS = 12;
+    /** Penalty of an engine that fails all its requests, in targets; exceeds the wait of any queue. */
+    private static final double FAILURE_PENALTY = 10;
 
-    /** Penalty of an engine that fails all its requests, milliseconds; exceeds the wait of any queue. */
-    private static final double FAILURE_PENALTY_MILLIS = 8000;
+    /** Target that penalties refer to for routes without a target, milliseconds; a common target of chat services. */
+    private static final double DEFAULT_TARGET_MILLIS = 800;
 
     /** Fraction of the memory that running requests may occupy besides shared parts; the rest caches shared parts. */
     private static final double RUNNING_MEMORY_SHARE = 1 - PromptCacheView.CACHE_SHARE;
 
-    /** Penalty of an engine whose slots or memory are full, milliseconds: about the time until a request ends. */
-    private static final double FULL_PENALTY_MILLIS = 1500;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final ZoneName zone;
     private final LoadTracker loads;
     private final PromptCacheView caches;
     private final ServerHealth health;
+    private final EngineLatencyModel model;
+    private final PrefillBacklog backlog;
     private final long memoryTokens;
 
     /** Hashes of server names, cached because every request compares them; never evicted. */
@@ -66,65 +63,93 @@
      * @param loads loads of servers
      * @param caches shared parts that servers have cached
      * @param health health of servers
+     * @param model latencies of engines
+     * @param backlog prompt tokens that wait at engines
      * @param memoryTokens memory of one engine in tokens; 0 if unknown
      */
     public PromptLocalitySelector(
-            ZoneName zone, LoadTracker loads, PromptCacheView caches, ServerHealth health, long memoryTokens) {
+            ZoneName zone,
+            LoadTracker loads,
+            PromptCacheView caches,
+            ServerHealth health,
+            EngineLatencyModel model,
+            PrefillBacklog backlog,
+            long memoryTokens) {
         this.zone = ArgumentUtils.requireValue(zone, "zone");
         this.loads = ArgumentUtils.requireValue(loads, "loads");
         this.caches = ArgumentUtils.requireValue(caches, "caches");
         this.health = ArgumentUtils.requireValue(health, "health");
+        this.model = ArgumentUtils.requireValue(model, "model");
+        this.backlog = ArgumentUtils.requireValue(backlog, "backlog");
         this.memoryTokens = memoryTokens;
     }
 
     @Override
-    public Optional<SelectedServer> select(List<BackendEntry> candidates, Prompt prompt) {
+    public Optional<SelectedServer> select(List<BackendEntry> candidates, SelectionRequest request) {
+        Prompt prompt = request.prompt();
         long sharedPartsHash = prompt.sharedPartsHash();
+        int sharedTokens = prompt.sharedTokens();
+        double targetMillis =
+                request.target().isZero() ? DEFAULT_TARGET_MILLIS : request.target().toNanos() / NANOS_PER_MILLI;
         ServerName home = home(candidates, sharedPartsHash);
-        BackendEntry best = null;
+        Estimate best = null;
         double bestCost = Double.MAX_VALUE;
-        double bestMillis = 0;
-        long bestTokens = 0;
         for (BackendEntry entry : candidates) {
             boolean cached = caches.isCached(entry.server(), sharedPartsHash)
                     || (entry.server().equals(home) && caches.isAssumedCachedAtHome(sharedPartsHash));
-            int missedTokens = cached ? 0 : prompt.sharedTokens();
-            long prefillTokens = (long) prompt.tokens() - prompt.sharedTokens() + missedTokens;
-            double millis = expectedMillis(entry, prefillTokens, prompt);
-            double cost = millis
-                    + CACHE_MISS_WEIGHT * missedTokens / PREFILL_TOKENS_PER_MILLI
-                    + (entry.server().equals(home) ? 0 : NOT_HOME_PENALTY_MILLIS)
-                    + (entry.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY_MILLIS)
-                    + FAILURE_PENALTY_MILLIS * health.failureRate(entry.server());
+            int missedTokens = cached ? 0 : sharedTokens;
+            Estimate estimate = estimate(entry, prompt, missedTokens, request.nowNanos());
+            double cost = estimate.latencyMillis()
+                    + memoryPenaltyMillis(entry.server(), prompt)
+                    + CACHE_MISS_WEIGHT * missedTokens * model.millisPerToken(entry.server())
+                    + (entry.server().equals(home) ? 0 : NOT_HOME_PENALTY * targetMillis)
+                    + (entry.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY * targetMillis)
+                    + FAILURE_PENALTY * targetMillis * health.failureRate(entry.server());
             if (cost < bestCost) {
-                best = entry;
+                best = estimate;
                 bestCost = cost;
-                bestMillis = millis;
-                bestTokens = prefillTokens;
             }
         }
-        if (best == null) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                new SelectedServer(best, bestTokens, Duration.ofMillis((long) bestMillis), queueTime(best.server())));
+        return Optional.ofNullable(best).map(Estimate::toSelectedServer);
+    }
+
+    private Estimate estimate(BackendEntry entry, Prompt prompt, int missedTokens, long nowNanos) {
+        ServerName server = entry.server();
+        ServerLoad load = loads.totalLoad(server);
+        double millisPerToken = model.millisPerToken(server);
+        // First events may have arrived earlier than the backlog assumes, or may be late because the engine is slower.
+        double waitingTokens =
+                Math.min(backlog.tokens(server, nowNanos) + load.overdueTokens(), load.unreadTokens());
+        double prefillWait = waitingTokens * millisPerToken;
+        double slotWait = slotWaitMillis(entry, load);
+        long prefillTokens = (long) prompt.tokens() - prompt.sharedTokens() + missedTokens;
+        double constantMillis = model.constantMillis(server);
+        double waitMillis = Math.max(prefillWait, slotWait);
+        return new Estimate(
+                entry,
+                prefillTokens,
+                (long) waitingTokens,
+                constantMillis + waitMillis + prefillTokens * millisPerToken,
+                constantMillis,
+                waitMillis,
+                slotWait > prefillWait);
     }
 
-    private Duration queueTime(ServerName server) {
-        return Duration.ofMillis(
-                (long) (FIRST_TOKEN_MILLIS + loads.totalLoad(server).unreadTokens() / PREFILL_TOKENS_PER_MILLI));
+    /** Returns the time until enough running requests have ended for one more to start. */
+    private double slotWaitMillis(BackendEntry entry, ServerLoad load) {
+        int excess = load.requests() - entry.slots() + 1;
+        return excess <= 0 ? 0 : excess * model.runMillis(entry.server()) / entry.slots();
     }
 
-    private double expectedMillis(BackendEntry entry, long prefillTokens, Prompt prompt) {
-        ServerLoad load = loads.totalLoad(entry.server());
-        double millis = FIRST_TOKEN_MILLIS
-                + (load.unreadTokens() + prefillTokens) / PREFILL_TOKENS_PER_MILLI
-                + load.requests() * RUNNING_REQUEST_MILLIS;
-        boolean slotsFull = load.requests() >= entry.slots();
-        long held =
-                load.heldTokens() + ServerLoad.ofRequest(prompt, prefillTokens).heldTokens();
-        boolean memoryFull = memoryTokens > 0 && held > memoryTokens * RUNNING_MEMORY_SHARE;
-        return slotsFull || memoryFull ? millis + FULL_PENALTY_MILLIS : millis;
+    /**
+     * Returns the time until running requests have released the memory that they take from cached shared parts. The
+     * engine would start the request without delay, but read these parts again later.
+     */
+    private double memoryPenaltyMillis(ServerName server, Prompt prompt) {
+        long held = loads.totalLoad(server).heldTokens()
+                + ServerLoad.ofRequest(prompt, 0).heldTokens();
+        double excess = held - memoryTokens * RUNNING_MEMORY_SHARE;
+        return memoryTokens == 0 || excess <= 0 ? 0 : excess / held * model.runMillis(server);
     }
 
     /** Returns the home engine of a shared part: the one with the highest rendezvous hash. */
@@ -141,4 +166,29 @@
         }
         return home;
     }
+
+    private static Duration duration(double millis) {
+        return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+    }
+
+    private record Estimate(
+            BackendEntry entry,
+            long prefillTokens,
+            long waitingTokens,
+            double latencyMillis,
+            double constantMillis,
+            double waitMillis,
+            boolean queuedForSlot) {
+
+        private SelectedServer toSelectedServer() {
+            return new SelectedServer(
+                    entry,
+                    prefillTokens,
+                    waitingTokens,
+                    duration(latencyMillis),
+                    duration(constantMillis),
+                    duration(waitMillis),
+                    queuedForSlot);
+        }
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
@@ -8,7 +8,37 @@
  *
  * @param entry server
  * @param prefillTokens prompt tokens that it has to prefill
+ * @param waitingTokens prompt tokens of other requests that it prefills before
  * @param expectedLatency expected time to the first event or to the whole response
- * @param queueTime part of that time that does not depend on the size of the request
+ * @param constantTime part of that time that depends neither on the size of the request nor on others
+ * @param waitTime part of that time for which the request waits behind others
+ * @param queuedForSlot true if the request is expected to wait for a free slot or memory rather than for prefill
  */
-public record SelectedServer(BackendEntry entry, long prefillTokens, Duration expectedLatency, Duration queueTime) {}
+public record SelectedServer(
+        BackendEntry entry,
+        long prefillTokens,
+        long waitingTokens,
+        Duration expectedLatency,
+        Duration constantTime,
+        Duration waitTime,
+        boolean queuedForSlot) {
+
+    /**
+     * Returns the selection of a server whose latency is not estimated.
+     *
+     * @param entry server
+     * @return selection without expected times
+     */
+    public static SelectedServer withoutEstimate(BackendEntry entry) {
+        return new SelectedServer(entry, 0, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, false);
+    }
+
+    /**
+     * Returns the part of the expected latency that does not depend on the size of the request.
+     *
+     * @return constant time and wait
+     */
+    public Duration queueTime() {
+        return constantTime.plus(waitTime);
+    }
+}
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/ServerLoad.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/ServerLoad.java
@@ -6,12 +6,24 @@
  * @param requests requests in flight
  * @param unreadTokens prompt tokens still to be prefilled, for requests without a first event
  * @param heldTokens tokens that running requests occupy in the server's memory, without shared prompt parts
+ * @param overdueTokens the unread tokens of requests whose first event should have arrived by now
  */
-public record ServerLoad(int requests, long unreadTokens, long heldTokens) {
+public record ServerLoad(int requests, long unreadTokens, long heldTokens, long overdueTokens) {
 
     /** No work. */
     public static final ServerLoad NONE = new ServerLoad(0, 0, 0);
 
+    /**
+     * Creates work of which nothing is overdue.
+     *
+     * @param requests requests in flight
+     * @param unreadTokens prompt tokens still to be prefilled
+     * @param heldTokens tokens that running requests occupy in the server's memory
+     */
+    public ServerLoad(int requests, long unreadTokens, long heldTokens) {
+        this(requests, unreadTokens, heldTokens, 0);
+    }
+
     /**
      * Returns the work of one request.
      *
@@ -34,7 +46,10 @@
      */
     public ServerLoad plus(ServerLoad other) {
         return new ServerLoad(
-                requests + other.requests, unreadTokens + other.unreadTokens, heldTokens + other.heldTokens);
+                requests + other.requests,
+                unreadTokens + other.unreadTokens,
+                heldTokens + other.heldTokens,
+                overdueTokens + other.overdueTokens);
     }
 
     /**
@@ -43,6 +58,6 @@
      * @return work with the opposite sign
      */
     public ServerLoad negated() {
-        return new ServerLoad(-requests, -unreadTokens, -heldTokens);
+        return new ServerLoad(-requests, -unreadTokens, -heldTokens, -overdueTokens);
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/ServerSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/ServerSelector.java
@@ -11,8 +11,8 @@
      * Selects a server.
      *
      * @param candidates servers that may get the request
-     * @param prompt prompt of the request; {@link Prompt#NONE} if the request does not describe it
+     * @param request request
      * @return the selected server, or empty if there are no candidates
      */
-    Optional<SelectedServer> select(List<BackendEntry> candidates, Prompt prompt);
+    Optional<SelectedServer> select(List<BackendEntry> candidates, SelectionRequest request);
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -3,18 +3,25 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.coltsfootquay.decision.admission.AdmissionPolicy;
 import org.coltsfootquay.decision.admission.DemandTracker;
 import org.coltsfootquay.decision.admission.FairSharePolicy;
+import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.backend.BackendRegistry;
+import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.latency.EngineLatencyModel;
+import org.coltsfootquay.decision.latency.FirstEventObservation;
+import org.coltsfootquay.decision.latency.PrefillBacklog;
 import org.coltsfootquay.decision.limit.ColdStartLimiter;
 import org.coltsfootquay.decision.peer.PeerTable;
 import org.coltsfootquay.decision.retry.FleetRetryShare;
@@ -34,6 +41,11 @@
 /** State shared by all requests of a router; used on one event loop. */
 public final class ForwardingContext {
 
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    /** Interval of the search for prompts whose first event is overdue; a fraction of the shortest targets. */
+    private static final Duration OVERDUE_CHECK_INTERVAL = Duration.ofMillis(50);
+
     private final ZoneName zone;
     private final TimerService timers;
     private final RequestDialect dialect;
@@ -45,6 +57,9 @@
     private final LoadTracker loads = new LoadTracker();
     private final PromptCacheView promptCaches = new PromptCacheView();
     private final ServerHealth health = new ServerHealth();
+    private final EngineLatencyModel latencyModel = new EngineLatencyModel();
+    private final PrefillBacklog prefillBacklog = new PrefillBacklog(latencyModel);
+    private final Map<ServerName, FirstEventObservation> newObservations = new HashMap<>();
     private final DemandTracker demands;
     private final AdmissionPolicy admission = new FairSharePolicy();
     private final List<PromptCacheUpdate> newCacheUpdates = new ArrayList<>();
@@ -52,6 +67,8 @@
     private final EligibleServerSelector eligibleServerSelector;
     private final Map<ServiceName, ServerSelector> selectorsByService = new HashMap<>();
     private final List<Runnable> startupTasks = new ArrayList<>();
+    private final Set<Reservation> awaitingFirstEvent = new LinkedHashSet<>();
+    private Runnable promptSentListener = () -> {};
     private RoutingConfiguration configuration;
     private boolean registrationsLoaded;
 
@@ -84,6 +101,7 @@
         this.metrics = metrics;
         this.eventLoopLag = new EventLoopLag(timers);
         this.demands = new DemandTracker(timers.nowNanos());
+        timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
         this.retryShare = new FleetRetryShare(limits.retryRatio(), limits.retryAllowance(), limits.retryWindow());
         this.eligibleServerSelector = new EligibleServerSelector(
                 registry, health, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
@@ -211,10 +229,74 @@
      */
     public void discardServerState(ServerName server) {
         promptCaches.removeServer(server);
+        latencyModel.removeServer(server);
+        prefillBacklog.removeServer(server);
+        metrics.removeGauge(prefillRateGauge(server));
         health.removeServer(server);
         connectionPool.closeIdle(server);
     }
 
+    /**
+     * Prepares the state of a server that is registered.
+     *
+     * @param entry entry of the server
+     */
+    public void serverRegistered(BackendEntry entry) {
+        latencyModel.assign(entry.server(), entry.service());
+    }
+
+    private static String prefillRateGauge(ServerName server) {
+        return "coltsfootquay_engine_prefill_tokens_per_second{server=\"" + server + "\"}";
+    }
+
+    /**
+     * Returns the estimated latencies of model engines.
+     *
+     * @return model
+     */
+    public EngineLatencyModel latencyModel() {
+        return latencyModel;
+    }
+
+    /**
+     * Returns the prompt tokens that wait for prefill at engines.
+     *
+     * @return backlog
+     */
+    public PrefillBacklog prefillBacklog() {
+        return prefillBacklog;
+    }
+
+    /**
+     * Returns and clears the latest observation of each engine by this router since the last call.
+     *
+     * @return observations by engine
+     */
+    public Map<ServerName, FirstEventObservation> takeObservations() {
+        Map<ServerName, FirstEventObservation> taken = Map.copyOf(newObservations);
+        newObservations.clear();
+        return taken;
+    }
+
+    /** Registers the reservation of a request that awaits its first event until the given time. */
+    void awaitFirstEvent(Reservation reservation, long expectedNanos) {
+        reservation.expectFirstEventBy(expectedNanos);
+        awaitingFirstEvent.add(reservation);
+    }
+
+    private void updateOverduePrompts() {
+        awaitingFirstEvent.removeIf(reservation -> !reservation.updateOverdue(timers.nowNanos()));
+    }
+
+    /** Records the time to the first event of a request of this router. */
+    void recordFirstEvent(FirstEventObservation observation) {
+        latencyModel.record(observation);
+        ServerName server = observation.server();
+        newObservations.put(server, observation);
+        metrics.gauge(
+                prefillRateGauge(server), () -> Math.round(MILLIS_PER_SECOND / latencyModel.millisPerToken(server)));
+    }
+
     /**
      * Returns the demands of workspaces.
      *
@@ -245,13 +327,26 @@
         return taken;
     }
 
+    /**
+     * Sets a listener that is called whenever this router has sent a prompt.
+     *
+     * @param listener listener
+     */
+    public void setPromptSentListener(Runnable listener) {
+        promptSentListener = ArgumentUtils.requireValue(listener, "listener");
+    }
+
     /** Records that this router sends a prompt to a server. */
-    void promptSent(ServerName server, Prompt prompt) {
+    void promptSent(ServerName server, Prompt prompt, long prefillTokens) {
+        prefillBacklog.addLocal(server, prefillTokens, timers.nowNanos());
         if (prompt.sharedTokens() > 0) {
             PromptCacheUpdate update = new PromptCacheUpdate(server, prompt.sharedPartsHash(), prompt.sharedTokens());
             recordPromptCacheUpdate(update);
             newCacheUpdates.add(update);
         }
+        if (prefillTokens > 0) {
+            promptSentListener.run();
+        }
     }
 
     AdmissionPolicy admission() {
@@ -298,7 +393,8 @@
         return selectorsByService.computeIfAbsent(
                 service.name(),
                 name -> service.cacheTokens() > 0
-                        ? new PromptLocalitySelector(zone, loads, promptCaches, health, service.cacheTokens())
+                        ? new PromptLocalitySelector(
+ zone, loads, promptCaches, health, latencyModel, prefillBacklog, service.cacheTokens())
                         : new LeastLoadedSelector(zone, loads, health, ThreadLocalRandom.current()));
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -46,7 +46,7 @@
         LOG.warn("server_unreachable", "request", requestId, "server", server, "reason", reason);
     }
 
-    void sent(SelectedServer selectedServer, int send, int load, long configuration) {
+    void sent(SelectedServer selectedServer, long missedTokens, int send, int load, long configuration) {
         LOG.info(
                 "request_sent",
                 "request",
@@ -59,6 +59,10 @@
                 selectedServer.expectedLatency().toMillis(),
                 "newTokens",
                 selectedServer.prefillTokens(),
+                "missedTokens",
+                missedTokens,
+                "waitMs",
+                selectedServer.waitTime().toMillis(),
                 "load",
                 load,
                 "configuration",
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -16,11 +16,14 @@
 import org.coltsfootquay.decision.common.HashUtils;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.latency.FirstEventObservation;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.route.RouteKind;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
 import org.coltsfootquay.decision.route.ServicePolicy;
+import org.coltsfootquay.decision.selection.Prompt;
 import org.coltsfootquay.decision.selection.SelectedServer;
+import org.coltsfootquay.decision.selection.SelectionRequest;
 import org.coltsfootquay.decision.timer.TimerService.ScheduledTask;
 
 /**
@@ -44,6 +47,9 @@
     /** Fraction of the remaining time that the expected latency may take; above it, a request is rejected. */
     private static final double MAX_EXPECTED_TIME_SHARE = 0.8;
 
+    /** Factor on the expected latency after which a first event is overdue; above the usual error of the estimate. */
+    private static final double OVERDUE_FACTOR = 1.4;
+
     /** Failed attempts to get a connection for a request after which it is rejected. */
     private static final int MAX_ACQUIRE_FAILURES = 4;
 
@@ -84,6 +90,7 @@
     private boolean streaming;
     private boolean done;
     private long firstEventNanos;
+    private long sentNanos;
 
     RequestRelay(
             ForwardingContext context,
@@ -145,11 +152,10 @@
         Optional<SelectedServer> choice = context.eligibleServerSelector()
                 .select(
                         service,
-                        requestMetadata.prompt(),
+                        new SelectionRequest(requestMetadata.prompt(), route.target(), now()),
                         triedServers,
                         context.selector(service),
-                        context.peers().members(),
-                        now());
+                        context.peers().members());
         if (choice.isEmpty()) {
             fail("no_server", RetryAfter.NO_SERVER);
             return;
@@ -178,8 +184,8 @@
                         workspace.orElse(NO_WORKSPACE),
                         weightedTokens(),
                         () -> context.demands().totalDemands(service.name(), now()),
-                        selectedServer.queueTime().plusNanos(waited),
-                        route.target());
+                        selectedServer.waitTime().plusNanos(waited),
+                        route.target().minus(selectedServer.constantTime()));
         if (!accepted) {
             log.notAdmitted(selectedServer);
         }
@@ -237,12 +243,17 @@
         Optional<String> resumeAfter = eventSplitter == null ? Optional.empty() : eventSplitter.lastId();
         ForwardMetadata forwardMetadata = new ForwardMetadata(target, remaining, workspace, resumeAfter);
         HttpHeaders forwardHeaders = context.dialect().serverHeaders(headers, forwardMetadata);
-        context.promptSent(target.server(), requestMetadata.prompt());
+        sentNanos = now;
+        context.awaitFirstEvent(
+                reservation, now + (long) (selectedServer.expectedLatency().toNanos() * OVERDUE_FACTOR));
+        context.promptSent(target.server(), requestMetadata.prompt(), selectedServer.prefillTokens());
         if (sends == 1) {
             context.demands().recordDispatched(service.name(), workspace.orElse(NO_WORKSPACE), weightedTokens(), now);
         }
+        Prompt prompt = requestMetadata.prompt();
         log.sent(
                 selectedServer,
+                Math.max(0, selectedServer.prefillTokens() - (prompt.tokens() - prompt.sharedTokens())),
                 sends,
                 context.loads().totalLoad(target.server()).requests(),
                 context.configuration().map(RoutingConfiguration::version).orElse(0L));
@@ -286,6 +297,7 @@
         if (firstEventNanos == 0) {
             firstEventNanos = now();
             reservation.promptProcessed();
+            recordFirstEvent();
             context.health().recordResponse(selectedServer.entry().server(), true, firstEventNanos);
             context.metrics()
                     .recordLatency(
@@ -297,6 +309,16 @@
         }
     }
 
+    private void recordFirstEvent() {
+        if (service.cacheTokens() > 0 && !selectedServer.queuedForSlot()) {
+            context.recordFirstEvent(new FirstEventObservation(
+                    selectedServer.entry().server(),
+                    selectedServer.waitingTokens(),
+                    selectedServer.prefillTokens(),
+                    Duration.ofNanos(firstEventNanos - sentNanos)));
+        }
+    }
+
     @Override
     public void responseCompleted() {
         ServerName server = selectedServer.entry().server();
@@ -309,6 +331,9 @@
                 caller.writeBody(incompleteEvent);
             }
             caller.endResponse();
+            if (sends == 1) {
+                context.latencyModel().recordRunTime(server, Duration.ofNanos(now() - firstEventNanos));
+            }
             finish("served", status.code());
             return;
         }
--- a/router/src/main/java/org/coltsfootquay/router/forward/Reservation.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/Reservation.java
@@ -12,6 +12,7 @@
     private final LoadTracker loads;
     private ServerName server;
     private ServerLoad load = ServerLoad.NONE;
+    private long dueNanos = Long.MAX_VALUE;
 
     Reservation(LoadTracker loads) {
         this.loads = loads;
@@ -23,14 +24,29 @@
         server = selectedServer.entry().server();
         load = ServerLoad.ofRequest(prompt, selectedServer.prefillTokens());
         loads.addLocal(server, load);
+        dueNanos = Long.MAX_VALUE;
+    }
+
+    /** Sets the time by which the first event should have arrived. */
+    void expectFirstEventBy(long expectedNanos) {
+        dueNanos = expectedNanos;
+    }
+
+    /** Counts the unread tokens as overdue if the first event should have arrived; returns whether it is awaited. */
+    boolean updateOverdue(long nowNanos) {
+        if (load.unreadTokens() == 0) {
+            return false;
+        }
+        if (nowNanos >= dueNanos && load.overdueTokens() == 0) {
+            change(new ServerLoad(0, 0, 0, load.unreadTokens()));
+        }
+        return true;
     }
 
     /** Removes the unread prompt tokens from the load after the server has processed the prompt. */
     void promptProcessed() {
         if (load.unreadTokens() > 0) {
-            ServerLoad processed = new ServerLoad(0, -load.unreadTokens(), 0);
-            loads.addLocal(server, processed);
-            load = load.plus(processed);
+            change(new ServerLoad(0, -load.unreadTokens(), 0, -load.overdueTokens()));
         }
     }
 
@@ -41,4 +57,9 @@
             load = ServerLoad.NONE;
         }
     }
+
+    private void change(ServerLoad difference) {
+        loads.addLocal(server, difference);
+        load = load.plus(difference);
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/metrics/RouterMetrics.java
+++ b/router/src/main/java/org/coltsfootquay/router/metrics/RouterMetrics.java
@@ -62,6 +62,15 @@
         registry.gauge(name, () -> gauge);
     }
 
+    /**
+     * Removes a gauge; has no effect if it is not registered.
+     *
+     * @param name name of the gauge
+     */
+    public void removeGauge(String name) {
+        registry.remove(name);
+    }
+
     /**
      * Records a latency.
      *
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.node;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.latency.FirstEventObservation;
 import org.coltsfootquay.decision.peer.LagMonitor;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.selection.ServerLoad;
@@ -98,8 +100,9 @@
             beacon.addTableRevisions(watcher.mirror(table).changeRevision());
         }
         // A full beacon contains all loads, so the next update only needs the changes after it.
-        forwarding.loads().takeChanged();
-        addLoads(beacon, forwarding.loads().localLoad());
+        Map<ServerName, ServerLoad> loads = forwarding.loads().takeChanged();
+        loads.putAll(forwarding.loads().localLoad());
+        addLoads(beacon, loads);
         addPromptCacheUpdates(beacon);
         forwarding
                 .demands()
@@ -147,12 +150,25 @@
         return new InetSocketAddress(peer.host(), peer.peerPort());
     }
 
-    private static void addLoads(Beacon.Builder beacon, Map<ServerName, ServerLoad> loads) {
-        loads.forEach((server, load) -> beacon.addLoads(BeaconLoad.newBuilder()
-                .setServer(server.value())
-                .setRequests(load.requests())
-                .setUnreadTokens(load.unreadTokens())
-                .setHeldTokens(load.heldTokens())));
+    private void addLoads(Beacon.Builder beacon, Map<ServerName, ServerLoad> loads) {
+        Map<ServerName, Long> sentTokens = forwarding.prefillBacklog().takeSent();
+        Map<ServerName, FirstEventObservation> observations = forwarding.takeObservations();
+        loads.forEach((server, load) -> {
+            BeaconLoad.Builder entry = BeaconLoad.newBuilder()
+                    .setServer(server.value())
+                    .setRequests(load.requests())
+                    .setUnreadTokens(load.unreadTokens())
+                    .setHeldTokens(load.heldTokens())
+                    .setOverdueTokens(load.overdueTokens())
+                    .setNewTokens(sentTokens.getOrDefault(server, 0L));
+            FirstEventObservation observation = observations.get(server);
+            if (observation != null) {
+                entry.setObservedMillis((int) Math.max(1, observation.latency().toMillis()))
+                        .setObservedWaitingTokens(observation.waitingTokens())
+                        .setObservedTokens(observation.prefillTokens());
+            }
+            beacon.addLoads(entry);
+        });
     }
 
     private void addPromptCacheUpdates(Beacon.Builder beacon) {
@@ -190,6 +206,7 @@
         forwarding.peers().recordBeacon(peer, beacon.getReady(), timers.nowNanos());
         cacheBootstrap.beaconReceived(peer, beacon.getJoining());
         forwarding.loads().replacePeerReport(peer.id(), loads(beacon));
+        recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
         Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
         for (BeaconDemand demand : beacon.getDemandsList()) {
@@ -214,6 +231,7 @@
         }
         lastBeacons.put(peer, new LastBeacon(beacon.getIncarnation(), beacon.getSequence()));
         forwarding.loads().updatePeerLoads(peer, loads(beacon));
+        recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
     }
 
@@ -223,12 +241,40 @@
             if (!load.getServer().isEmpty()) {
                 loads.put(
                         new ServerName(load.getServer()),
-                        new ServerLoad(load.getRequests(), load.getUnreadTokens(), load.getHeldTokens()));
+                        new ServerLoad(
+ load.getRequests(),
+ load.getUnreadTokens(),
+ load.getHeldTokens(),
+ load.getOverdueTokens()));
             }
         }
         return loads;
     }
 
+    /** Records the prompts that the sender gave to engines, and the times to the first event that it observed. */
+    private void recordEngineWork(Beacon beacon) {
+        for (BeaconLoad load : beacon.getLoadsList()) {
+            if (load.getServer().isEmpty()) {
+                continue;
+            }
+            ServerName server = new ServerName(load.getServer());
+            if (load.getNewTokens() > 0) {
+                forwarding.prefillBacklog().addPeer(server, load.getNewTokens(), timers.nowNanos());
+            }
+            if (load.getObservedMillis() > 0
+                    && load.getObservedWaitingTokens() >= 0
+                    && load.getObservedTokens() >= 0) {
+                forwarding
+                        .latencyModel()
+                        .record(new FirstEventObservation(
+                                server,
+                                load.getObservedWaitingTokens(),
+                                load.getObservedTokens(),
+                                Duration.ofMillis(load.getObservedMillis())));
+            }
+        }
+    }
+
     private void recordPromptCacheUpdates(Beacon beacon) {
         for (BeaconRead read : beacon.getReadsList()) {
             if (!read.getServer().isEmpty()) {
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -40,6 +40,9 @@
 
     private static final EventLog LOG = EventLog.of(ForwardingNode.class);
 
+    /** Delay of the update after a dispatched prompt, so that prompts that arrive together share one. */
+    private static final Duration PROMPT_COALESCING_TIME = Duration.ofMillis(3);
+
     /** Maximum number of addresses in one response, a limit of the platform. */
     private static final int MAX_ADDRESSES = 64;
 
@@ -75,6 +78,8 @@
     private boolean stopping;
     private boolean registered;
     private boolean watchingRouters;
+    private boolean updateScheduled;
+    private long lastUpdateNanos;
 
     /**
      * Creates a router that is not started.
@@ -148,6 +153,8 @@
             register();
             sendBeacon();
             sendUpdate();
+            lastUpdateNanos = timers.nowNanos();
+            forwarding.setPromptSentListener(this::announcePrompt);
             timers.schedulePeriodic("sweep", CLEANUP_PERIOD, this::cleanUp);
         });
         int[] unbound = {bound.size()};
@@ -256,6 +263,24 @@
         timers.scheduleOnce("beacon", peers.beaconPeriod(), this::sendBeacon);
     }
 
+    /**
+     * Announces a dispatched prompt soon: its engine is busy with it before the next periodic update, and other routers
+     * would send theirs to the same engine meanwhile.
+     */
+    private void announcePrompt() {
+        if (updateScheduled) {
+            return;
+        }
+        updateScheduled = true;
+        long earliest = lastUpdateNanos + peers.minUpdateInterval().toNanos();
+        Duration delay = Duration.ofNanos(Math.max(PROMPT_COALESCING_TIME.toNanos(), earliest - timers.nowNanos()));
+        timers.scheduleOnce("prompt update", delay, () -> {
+            updateScheduled = false;
+            lastUpdateNanos = timers.nowNanos();
+            beaconExchange.sendUpdate(beaconChannel::send);
+        });
+    }
+
     private void sendUpdate() {
         Duration period = peers.updatePeriod();
         if (!period.isZero()) {
--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -57,6 +57,7 @@
                 Set<ServerName> removed = new HashSet<>(before);
                 removed.removeAll(forwarding.registry().servers());
                 removed.forEach(forwarding::discardServerState);
+                entries.forEach(forwarding::serverRegistered);
                 forwarding.registrationsLoaded();
                 LOG.info("servers_read", "servers", entries.size(), "gone", removed.size());
             }
@@ -112,6 +113,7 @@
         if (newOrRestarted) {
             forwarding.discardServerState(entry.get().server());
         }
+        forwarding.serverRegistered(entry.get());
         LOG.info(
                 "server_changed",
                 "server",
