--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -28,6 +28,9 @@
      */
     private static final double CACHE_MISS_WEIGHT = 8;
 
+    /** Maximum additional cost of a cache miss, in targets: above it, the request itself is better served elsewhere. */
+    private static final double MAX_CACHE_MISS_PENALTY = 2;
+
     /** Penalty of an engine that is not the home of the shared part, fraction of the target; places a new part. */
     private static final double NOT_HOME_PENALTY = 0.05;
 
@@ -105,7 +108,9 @@
             Estimate estimate = estimate(entry, prompt, missedTokens, request.nowNanos());
             double cost = estimate.latencyMillis()
                     + memoryPenaltyMillis(entry.server(), prompt)
-                    + CACHE_MISS_WEIGHT * missedTokens * model.millisPerToken(entry.server())
+                    + Math.min(
+                            CACHE_MISS_WEIGHT * missedTokens * model.millisPerToken(entry.server()),
+                            MAX_CACHE_MISS_PENALTY * targetMillis)
                     + (entry.server().equals(home) ? 0 : NOT_HOME_PENALTY * targetMillis)
                     + (entry.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY * targetMillis)
                     + FAILURE_PENALTY
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -33,8 +33,11 @@
      */
     private static final int SMALL_FLEET_ROUTERS = 8;
 
-    /** Maximum watch duration in a large fleet; a router that receives no beacons detects a dead connection by then. */
-    private static final Duration MAX_LARGE_FLEET_WATCH_DURATION = Duration.ofSeconds(10);
+    /**
+     * Maximum watch duration in a large fleet, the longest that the store accepts; a router that receives no beacons
+     * detects a dead connection by then.
+     */
+    private static final Duration MAX_LARGE_FLEET_WATCH_DURATION = Duration.ofSeconds(30);
 
     /**
      * Delay of the next watch after a change, per router of the fleet. Each change completes the watches of all
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -78,6 +78,17 @@
         assertEquals("read", store.nextCall(WatchedTable.ROUTERS).kind());
     }
 
+    /** The watches of 95 routers must end as often as those of 8 routers, since each end reveals a hidden change. */
+    @Test
+    void someWatchOfALargeFleetEndsAsSoonAsInASmallFleet() {
+        routerCount = 95;
+        startAtRevision(7);
+        Duration wait = store.nextCall(TABLE).maxWait();
+        assertTrue(wait.dividedBy(95).compareTo(Duration.ofSeconds(5).dividedBy(8)) <= 0, "wait " + wait);
+        assertTrue(wait.compareTo(Duration.ofSeconds(15)) >= 0, "wait " + wait);
+        assertTrue(wait.compareTo(Duration.ofSeconds(30)) <= 0, "wait " + wait);
+    }
+
     @Test
     void watchesOfALargeFleetAreLonger() {
         startAtRevision(7);
