Reject by the wait for prefill, not by the wait for a free slot

Change: the wait for a place still chooses the engine; admission compares the wait for prefill only.

--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -135,14 +135,13 @@
         double slotWait = slotWaitMillis(entry, load);
         long prefillTokens = (long) prompt.tokens() - prompt.sharedTokens() + missedTokens;
         double constantMillis = model.constantMillis(server);
-        double waitMillis = Math.max(prefillWait, slotWait);
         return new Estimate(
                 entry,
                 prefillTokens,
                 (long) waitingTokens,
-                constantMillis + waitMillis + prefillTokens * millisPerToken,
+                constantMillis + Math.max(prefillWait, slotWait) + prefillTokens * millisPerToken,
                 constantMillis,
-                waitMillis,
+                prefillWait,
                 slotWait > prefillWait);
     }
 
@@ -188,7 +187,7 @@
             long waitingTokens,
             double latencyMillis,
             double constantMillis,
-            double waitMillis,
+            double prefillWaitMillis,
             boolean queuedForSlot) {
 
         private SelectedServer toSelectedServer() {
@@ -198,7 +197,7 @@
                     waitingTokens,
                     duration(latencyMillis),
                     duration(constantMillis),
-                    duration(waitMillis),
+                    duration(prefillWaitMillis),
                     queuedForSlot);
         }
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
@@ -11,7 +11,8 @@
  * @param waitingTokens prompt tokens of other requests that it prefills before
  * @param expectedLatency expected time to the first event or to the whole response
  * @param constantTime part of that time that depends neither on the size of the request nor on others
- * @param waitTime part of that time for which the request waits behind others
+ * @param waitTime time for which the request waits for the prefill of others; the number of requests in flight, from
+ *     which the wait for a free slot is estimated, is too old in a large fleet to reject requests by it
  * @param queuedForSlot true if the request is expected to wait for a free slot or memory rather than for prefill
  */
 public record SelectedServer(
