Reject new requests at a router whose event loop lags by half a second

Change: while a tick of the event loop is late by more than 500 ms, new requests are rejected with 503 and the connection is closed, so that callers choose another router. The test overloadedRouterSendsItsCallersToOthers failed before.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -228,6 +228,16 @@
                     Optional.of(Duration.ZERO));
             return;
         }
+        if (context.eventLoopLag().overloaded()) {
+            // Closing the connection makes the caller choose another router.
+            keepAlive = false;
+            reject(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "router_overloaded",
+                    metadata.requestId(),
+                    Optional.of(RetryAfter.ROUTER_OVERLOADED));
+            return;
+        }
         String path = request.uri();
         int query = path.indexOf('?');
         Access access = configuration
--- a/router/src/main/java/org/coltsfootquay/router/forward/EventLoopLag.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/EventLoopLag.java
@@ -11,6 +11,12 @@
     /** Delay of a tick above which the event loop lags; longer than a usual garbage collection pause. */
     private static final Duration MAX_TICK_DELAY = Duration.ofMillis(100);
 
+    /**
+     * Delay of a tick above which the router is overloaded. Callers give up a request that is not read within a second,
+     * so requests that are read after such a delay would mostly be forwarded for nobody.
+     */
+    private static final Duration OVERLOAD_TICK_DELAY = Duration.ofMillis(500);
+
     /** Minimum delay of a timer; a timer that is set by another timer runs after the sockets are read once more. */
     private static final Duration MIN_TIMER_DELAY = Duration.ofMillis(1);
 
@@ -23,6 +29,8 @@
      */
     private boolean lastTickLate;
 
+    private boolean lastTickOverloaded;
+
     EventLoopLag(TimerService timers) {
         this.timers = timers;
         this.lastTickNanos = timers.nowNanos();
@@ -31,6 +39,7 @@
 
     private void tick() {
         lastTickLate = overdue();
+        lastTickOverloaded = overdueBy(OVERLOAD_TICK_DELAY);
         lastTickNanos = timers.nowNanos();
     }
 
@@ -39,9 +48,17 @@
         return lastTickLate || overdue();
     }
 
+    /** Returns whether the event loop lags so much that the router should reject new requests. */
+    boolean overloaded() {
+        return lastTickOverloaded || overdueBy(OVERLOAD_TICK_DELAY);
+    }
+
     private boolean overdue() {
-        return timers.nowNanos() - lastTickNanos
-                > TICK_INTERVAL.plus(MAX_TICK_DELAY).toNanos();
+        return overdueBy(MAX_TICK_DELAY);
+    }
+
+    private boolean overdueBy(Duration delay) {
+        return timers.nowNanos() - lastTickNanos > TICK_INTERVAL.plus(delay).toNanos();
     }
 
     /**
--- a/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
@@ -18,6 +18,9 @@
      */
     static final Duration OVERLOAD = Duration.ofMillis(700);
 
+    /** The router is overloaded: a new connection leads to another router, which may accept the request at once. */
+    static final Duration ROUTER_OVERLOADED = Duration.ofMillis(100);
+
     /** The router has no configuration yet: it reads one within about this time after its start. */
     static final Duration NO_CONFIGURATION = Duration.ofMillis(200);
 
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -94,6 +94,31 @@
                         .toList());
     }
 
+    /**
+     * All callers of one workspace use one router, which reads their requests more than a second late; it forwarded
+     * 231 requests whose callers had given up in the run nilehoney-coop-grown scale-1.
+     */
+    @Test
+    void overloadedRouterSendsItsCallersToOthers() throws Exception {
+        ScriptedServer server = serve((head, output, socket) -> output.write(signed(head, "hello")));
+        fixture.call("POST", "/once/first", "first");
+        fixture.blockEventLoop(Duration.ofMillis(900));
+        String response = fixture.call("POST", "/once/late", "late");
+        assertTrue(response.startsWith("HTTP/1.1 503"), response);
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("connection: close"), response);
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: 0.100"), response);
+        assertEquals(1, server.requestHeads.size());
+    }
+
+    @Test
+    void routerAcceptsRequestsAgainAfterAnOverload() throws Exception {
+        serve((head, output, socket) -> output.write(signed(head, "hello")));
+        fixture.blockEventLoop(Duration.ofMillis(900));
+        fixture.call("POST", "/once/late", "late");
+        Thread.sleep(200);
+        assertTrue(fixture.call("POST", "/once/next", "next").endsWith("hello"));
+    }
+
     /** The router could change the body or signature of a response. */
     @Test
     void responseIsForwardedUnchanged() throws Exception {
