--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -37,12 +37,6 @@
     /** Penalty of an engine in another zone, fraction of the target: weighs cross-zone traffic against the wait. */
     private static final double CROSS_ZONE_PENALTY = 0.015;
 
-    /**
-     * Penalty of an engine without a free slot, in targets and in addition to the wait for one: requests that queue for
-     * slots hold up all later ones, and the requests in flight are known with a delay.
-     */
-    private static final double FULL_PENALTY = 2.5;
-
     /** Penalty of an engine that fails all its requests, in targets; exceeds the cost of reading a shared part. */
     private static final double FAILURE_PENALTY = 8;
 
@@ -119,7 +113,6 @@
                             MAX_CACHE_MISS_PENALTY * targetMillis)
                     + (entry.server().equals(home) ? 0 : NOT_HOME_PENALTY * targetMillis)
                     + (entry.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY * targetMillis)
-                    + (loads.totalLoad(entry.server()).requests() < entry.slots() ? 0 : FULL_PENALTY * targetMillis)
                     + FAILURE_PENALTY
                             * targetMillis
                             * Math.max(0, health.failureRate(entry.server()) - TOLERATED_FAILURE_RATE);
