--- a/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
@@ -13,7 +13,7 @@
  * @param constantTime part of that time that depends neither on the size of the request nor on others
  * @param waitTime time for which the request waits for the prefill of others; the number of requests in flight, from
  *     which the wait for a free slot is estimated, is too old in a large fleet to reject requests by it
- * @param queuedForSlot true if the request is expected to wait for a free slot or memory rather than for prefill
+ * @param queuedForSlot true if the request is expected to wait for a free slot rather than for prefill
  */
 public record SelectedServer(
         BackendEntry entry,
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/ServerSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/ServerSelector.java
@@ -11,7 +11,7 @@
      * Selects a server.
      *
      * @param candidates servers that may get the request
-     * @param request request
+     * @param request request for which a server is selected
      * @return the selected server, or empty if there are no candidates
      */
     Optional<SelectedServer> select(List<BackendEntry> candidates, SelectionRequest request);
--- a/router/src/main/java/org/coltsfootquay/router/forward/EventLoopLag.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/EventLoopLag.java
@@ -13,7 +13,7 @@
 
     /**
      * Delay of a tick above which the router is overloaded. Callers give up a request that is not read within a second,
-     * so requests that are read after such a delay would mostly be forwarded for nobody.
+     * so most requests that are read after such a delay have lost their callers.
      */
     private static final Duration OVERLOAD_TICK_DELAY = Duration.ofMillis(500);
 
