Apply the current view when a router learns of its own join

Cause: JoinAwareMembers ignores views until its check, once a second, has seen the lease. Without another change of the view, a router that joined later was never counted as aware of this one, and after its crash nobody claimed its servers. Ruled out: load; 40 runs of the test alone took 13.2 to 15.1 s each and passed. Test: JoinAwareMembersTest, one case failed before (expected true, was false).

--- a/decision/src/main/java/org/coltsfootquay/decision/membership/JoinAwareMembers.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/membership/JoinAwareMembers.java
@@ -101,6 +101,8 @@
             joinedNanos = now;
             readComplete = false;
             incarnations.clear();
+            // Views that were published since the join came before the incarnation was known here.
+            viewChanged(blackboard.read(MembershipView.TOPIC));
         }
         Duration delay =
                 settings.timeToLive().plus(settings.maxPollAgeForRenewal()).plus(CHECK_PERIOD);
