Anchor the latency line of a service and forget idle engines

Cause: only the product of line and factor is observed. Engines that seemed slow got no requests and kept their estimate. Change: the line describes the mean engine; engines without an observation approach the estimate of their service each second. Tests: two cases of EngineLatencyModelTest failed before (1288 and 1469 ms for 150 ms).

--- a/decision/src/main/java/org/coltsfootquay/decision/latency/EngineLatencyModel.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/latency/EngineLatencyModel.java
@@ -34,6 +34,15 @@
     /** Weight of an observation in the mean factor of a service. */
     private static final double MEAN_FACTOR_WEIGHT = 0.05;
 
+    /**
+     * Observations of a service after which its line includes half of the mean factor. Earlier, the factors fit faster
+     * than the line does.
+     */
+    private static final double ANCHOR_OBSERVATIONS = 200;
+
+    /** Fraction of the distance to the mean factor that an engine keeps per second without an observation. */
+    private static final double IDLE_KEPT_SHARE = 0.5;
+
     /** Bound of a factor and of its inverse. */
     private static final double MAX_FACTOR = 10;
 
@@ -131,8 +140,20 @@
             // The waiting tokens are known less exactly than those of the request, which would flatten the line.
             return;
         }
-        // The line describes the shape; how fast the engine is at the moment is left to its factor.
-        line.add(tokens, millis / engine.factor());
+        // The line describes the mean engine. Dividing by the factor alone would let the line rise without bound while
+        // the factors fall, since only their product is observed.
+        line.add(tokens, millis * Math.exp(engine.service.lineLogFactor() - engine.logFactor));
+    }
+
+    /**
+     * Moves engines without an observation since the last call halfway to the estimate of their service; to be called
+     * once a second.
+     *
+     * <p>Engines that seem slow get few requests. They would otherwise keep a wrong estimate, or that of a time in which
+     * they were slow, without end.
+     */
+    public void forgetIdleEngines() {
+        engines.values().forEach(Engine::forgetIfIdle);
     }
 
     /**
@@ -167,9 +188,17 @@
         /** Moving average of the logarithms of its engines' factors; holds for engines without observations. */
         private double meanLogFactor;
 
+        private long observations;
+
         private void followFactor(double logFactor) {
+            observations++;
             meanLogFactor += MEAN_FACTOR_WEIGHT * (logFactor - meanLogFactor);
         }
+
+        /** Returns the logarithm of the factor that the line includes; grows to the mean factor with observations. */
+        private double lineLogFactor() {
+            return meanLogFactor * observations / (observations + ANCHOR_OBSERVATIONS);
+        }
     }
 
     private static final class Engine {
@@ -178,6 +207,7 @@
         private double logFactor;
         private double factor = 1;
         private boolean observed;
+        private boolean observedRecently;
         private int consecutiveOff;
 
         /** Sum of the factors that the consecutive observations which are off would have fitted, as logarithms. */
@@ -193,7 +223,15 @@
             return observed ? factor : Math.exp(service.meanLogFactor);
         }
 
+        private void forgetIfIdle() {
+            if (observed && !observedRecently) {
+                setLogFactor(service.meanLogFactor + IDLE_KEPT_SHARE * (logFactor - service.meanLogFactor));
+            }
+            observedRecently = false;
+        }
+
         private void correct(double logRatio) {
+            observedRecently = true;
             if (!observed) {
                 observed = true;
                 logFactor = service.meanLogFactor;
--- a/decision/src/test/java/org/coltsfootquay/decision/latency/EngineLatencyModelTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/latency/EngineLatencyModelTest.java
@@ -89,6 +89,56 @@
         assertEquals(expected, model.expectedMillis(ENGINE, TYPICAL_TOKENS), 0.25 * expected);
     }
 
+    /**
+     * Waits are overestimated because peers report late. The factor of the engine then fell while the line of the
+     * service rose without bound, so that engines without requests seemed ten times slower than they were.
+     */
+    @Test
+    void overestimatedWaitsDoNotSlowTheEstimateOfOtherEngines() {
+        model.assign(ENGINE, SERVICE);
+        model.assign(OTHER, SERVICE);
+        Random random = new Random(3);
+        observe(model, ENGINE, 60, 50, 100, random);
+        observe(model, OTHER, 60, 50, 100, random);
+        for (int i = 0; i < 2_000; i++) {
+            observe(model, ENGINE, 60, 50, 1, random);
+            Duration latency = Duration.ofMillis(50 + (8_000 + 2_000) / 60);
+            model.record(new FirstEventObservation(ENGINE, 16_000, 2_000, latency));
+        }
+        double expected = 50 + TYPICAL_TOKENS / 60.0;
+        assertEquals(expected, model.expectedMillis(OTHER, TYPICAL_TOKENS), 0.3 * expected);
+    }
+
+    /** An engine that seems slow gets no requests, so that no observation would ever correct its estimate. */
+    @Test
+    void engineWithoutObservationsIsSoonEstimatedLikeItsService() {
+        model.assign(ENGINE, SERVICE);
+        model.assign(OTHER, SERVICE);
+        Random random = new Random(3);
+        observe(model, OTHER, 60, 50, 100, random);
+        observe(model, OTHER, 6, 500, 10, random);
+        for (int second = 0; second < 6; second++) {
+            observe(model, ENGINE, 60, 50, 50, random);
+            model.forgetIdleEngines();
+        }
+        double expected = 50 + TYPICAL_TOKENS / 60.0;
+        assertEquals(expected, model.expectedMillis(OTHER, TYPICAL_TOKENS), 0.3 * expected);
+    }
+
+    @Test
+    void engineWithObservationsKeepsItsEstimate() {
+        model.assign(ENGINE, SERVICE);
+        model.assign(OTHER, SERVICE);
+        Random random = new Random(3);
+        for (int second = 0; second < 20; second++) {
+            observe(model, ENGINE, 60, 50, 10, random);
+            observe(model, OTHER, 30, 100, 10, random);
+            model.forgetIdleEngines();
+        }
+        double expected = 100 + TYPICAL_TOKENS / 30.0;
+        assertEquals(expected, model.expectedMillis(OTHER, TYPICAL_TOKENS), 0.15 * expected);
+    }
+
     @Test
     void restartedEngineHasTheEstimateOfItsService() {
         model.assign(ENGINE, SERVICE);
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -46,6 +46,9 @@
     /** Interval of the search for prompts whose first event is overdue; a fraction of the shortest targets. */
     private static final Duration OVERDUE_CHECK_INTERVAL = Duration.ofMillis(50);
 
+    /** Interval at which the latency estimates of engines without observations approach those of their service. */
+    private static final Duration IDLE_ENGINE_INTERVAL = Duration.ofSeconds(1);
+
     private final ZoneName zone;
     private final TimerService timers;
     private final RequestDialect dialect;
@@ -102,6 +105,7 @@
         this.eventLoopLag = new EventLoopLag(timers);
         this.demands = new DemandTracker(timers.nowNanos());
         timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
+        timers.schedulePeriodic("idle engines", IDLE_ENGINE_INTERVAL, latencyModel::forgetIdleEngines);
         this.retryShare = new FleetRetryShare(limits.retryRatio(), limits.retryAllowance(), limits.retryWindow());
         this.eligibleServerSelector = new EligibleServerSelector(
                 registry, health, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
