Count running requests and unreported prompts in the choice of an engine; contention by the mean wait

Change: costs of running requests (by learned run time and slots) and of prompts without a reported first event; shares are enforced only if requests wait on average too.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
@@ -17,6 +17,7 @@
      *     evaluated only if the decision depends on them
      * @param waitTime expected wait behind other requests; excludes the processing time of the request itself, so that
      *     large requests are not rejected more often than small ones
+     * @param meanWaitTime mean of the expected wait over all servers that could get the request
      * @param allowedTime time to the first event that the target of the route allows, besides the constant latency of
      *     the server
      * @return true if the request may be dispatched
@@ -26,5 +27,6 @@
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
             Duration waitTime,
+            Duration meanWaitTime,
             Duration allowedTime);
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -9,8 +9,8 @@
  * Rejects the requests of workspaces above their max-min fair share before those of other workspaces.
  *
  * <p>Handles overload by a few workspaces that send many times their usual load. While the queue is short, every
- * request is admitted. As soon as requests wait, workspaces above the fair share are rejected, so that the
- * wait stays within the target for the others. From about half of it on, every request is rejected, since a late
+ * request is admitted. As soon as requests wait at the selected server and on average at all servers, workspaces above
+ * the fair share are rejected, so that the wait stays within the target for the others. From about half of it on, every request is rejected, since a late
  * response delays the following ones too.
  */
 public final class FairSharePolicy implements AdmissionPolicy {
@@ -38,17 +38,26 @@
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
             Duration waitTime,
+            Duration meanWaitTime,
             Duration allowedTime) {
-        double waitFraction = (double) waitTime.toNanos() / Math.max(1, allowedTime.toNanos());
+        double waitFraction = fraction(waitTime, allowedTime);
         if (waitFraction <= CONTENTION_THRESHOLD) {
             return true;
         }
         if (waitFraction > MAX_WAIT_SHARE) {
             return false;
         }
+        if (fraction(meanWaitTime, allowedTime) <= CONTENTION_THRESHOLD) {
+            // The other servers have room, so the wait at this one does not come from workspaces over their share.
+            return true;
+        }
         Map<WorkspaceId, Demand> all = demands.get();
         double fairShare = DemandTracker.maxMinFairShare(all.values());
         double dispatched = all.getOrDefault(workspace, Demand.NONE).dispatchedTokens();
         return dispatched <= fairShare * SHARE_TOLERANCE;
     }
+
+    private static double fraction(Duration waitTime, Duration allowedTime) {
+        return (double) waitTime.toNanos() / Math.max(1, allowedTime.toNanos());
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -31,6 +31,12 @@
     /** Maximum additional cost of a cache miss, in targets: above it, the request itself is better served elsewhere. */
     private static final double MAX_CACHE_MISS_PENALTY = 2;
 
+    /**
+     * Cost of a running request, as a multiple of the time in which one of the slots becomes free. Running requests last
+     * longer than the reports of other routers take, so they balance large fleets better than the queues do.
+     */
+    private static final double RUNNING_REQUEST_WEIGHT = 0.03;
+
     /** Penalty of an engine that is not the home of the shared part, fraction of the target; places a new part. */
     private static final double NOT_HOME_PENALTY = 0.05;
 
@@ -101,6 +107,7 @@
         ServerName home = home(candidates, sharedPartsHash);
         Estimate best = null;
         double bestCost = Double.MAX_VALUE;
+        double waitMillis = 0;
         for (BackendEntry entry : candidates) {
             boolean cached = caches.isCached(entry.server(), sharedPartsHash)
                     || (entry.server().equals(home) && caches.isAssumedCachedAtHome(sharedPartsHash));
@@ -108,6 +115,7 @@
             Estimate estimate = estimate(entry, prompt, missedTokens, request.nowNanos());
             double cost = estimate.latencyMillis()
                     + memoryPenaltyMillis(entry.server(), prompt)
+                    + loadPenaltyMillis(entry, estimate.waitingTokens())
                     + Math.min(
                             CACHE_MISS_WEIGHT * missedTokens * model.millisPerToken(entry.server()),
                             MAX_CACHE_MISS_PENALTY * targetMillis)
@@ -116,12 +124,14 @@
                     + FAILURE_PENALTY
                             * targetMillis
                             * Math.max(0, health.failureRate(entry.server()) - TOLERATED_FAILURE_RATE);
+            waitMillis += estimate.prefillWaitMillis();
             if (cost < bestCost) {
                 best = estimate;
                 bestCost = cost;
             }
         }
-        return Optional.ofNullable(best).map(Estimate::toSelectedServer);
+        double meanWaitMillis = waitMillis / Math.max(1, candidates.size());
+        return Optional.ofNullable(best).map(estimate -> estimate.toSelectedServer(meanWaitMillis));
     }
 
     private Estimate estimate(BackendEntry entry, Prompt prompt, int missedTokens, long nowNanos) {
@@ -151,6 +161,18 @@
         return excess <= 0 ? 0 : excess * model.runMillis(entry.server()) / entry.slots();
     }
 
+    /**
+     * Returns the cost of the requests that are running or whose first event is not reported yet. It spreads requests
+     * whose routers do not know of each other's prompts in time.
+     */
+    private double loadPenaltyMillis(BackendEntry entry, long waitingTokens) {
+        ServerLoad load = loads.totalLoad(entry.server());
+        double slotMillis = model.runMillis(entry.server()) / entry.slots();
+        long unreportedTokens = Math.max(0, load.unreadTokens() - waitingTokens);
+        return RUNNING_REQUEST_WEIGHT * slotMillis * load.requests()
+                + unreportedTokens * model.millisPerToken(entry.server());
+    }
+
     /**
      * Returns the time until running requests have released the memory that they take from cached shared parts. The
      * engine would start the request without delay, but read these parts again later.
@@ -190,7 +212,7 @@
             double prefillWaitMillis,
             boolean queuedForSlot) {
 
-        private SelectedServer toSelectedServer() {
+        private SelectedServer toSelectedServer(double meanWaitMillis) {
             return new SelectedServer(
                     entry,
                     prefillTokens,
@@ -198,6 +220,7 @@
                     duration(latencyMillis),
                     duration(constantMillis),
                     duration(prefillWaitMillis),
+                    duration(meanWaitMillis),
                     queuedForSlot);
         }
     }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
@@ -13,6 +13,7 @@
  * @param constantTime part of that time that depends neither on the size of the request nor on others
  * @param waitTime time for which the request waits for the prefill of others; the number of requests in flight, from
  *     which the wait for a free slot is estimated, is too old in a large fleet to reject requests by it
+ * @param meanWaitTime mean of this time over all servers that could get the request
  * @param queuedForSlot true if the request is expected to wait for a free slot rather than for prefill
  */
 public record SelectedServer(
@@ -22,6 +23,7 @@
         Duration expectedLatency,
         Duration constantTime,
         Duration waitTime,
+        Duration meanWaitTime,
         boolean queuedForSlot) {
 
     /**
@@ -31,7 +33,7 @@
      * @return selection without expected times
      */
     public static SelectedServer withoutEstimate(BackendEntry entry) {
-        return new SelectedServer(entry, 0, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, false);
+        return new SelectedServer(entry, 0, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, false);
     }
 
     /**
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
@@ -128,6 +128,30 @@
         assertEquals(0, select(servers, prompt("a")).waitingTokens());
     }
 
+    /**
+     * Routers of a large fleet hear of each other's prompts late. Only the running requests then tell engines apart, and
+     * without a cost for them, engines got up to 2.4 times the mean load.
+     */
+    @Test
+    void engineWithFewerRunningRequestsIsPreferredAmongEnginesWithTheCachedPart() {
+        List<BackendEntry> servers = servers(2);
+        Prompt prompt = prompt("a");
+        ServerName preferred = select(servers, prompt).entry().server();
+        servers.forEach(server -> caches.recordRead(server.server(), prompt.sharedPartsHash(), SHARED, MEMORY));
+        loads.addLocal(preferred, new ServerLoad(60, 0, 0));
+        assertNotEquals(preferred, select(servers, prompt).entry().server());
+    }
+
+    @Test
+    void engineWithoutPromptsThatAreNotAnsweredIsPreferred() {
+        List<BackendEntry> servers = servers(2);
+        Prompt prompt = prompt("a");
+        ServerName preferred = select(servers, prompt).entry().server();
+        servers.forEach(server -> caches.recordRead(server.server(), prompt.sharedPartsHash(), SHARED, MEMORY));
+        loads.addLocal(preferred, new ServerLoad(1, 20_000, 0));
+        assertNotEquals(preferred, select(servers, prompt).entry().server());
+    }
+
     /** A penalty of seconds for a full batch moved shared parts although a place became free within 100 ms. */
     @Test
     void waitForAPlaceFollowsFromTheRunTime() {
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -189,6 +189,7 @@
                         weightedTokens(),
                         () -> context.demands().totalDemands(service.name(), now()),
                         selectedServer.waitTime().plusNanos(waited),
+                        selectedServer.meanWaitTime(),
                         route.target().minus(selectedServer.constantTime()));
         if (!accepted) {
             log.notAdmitted(selectedServer);
