--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -10,8 +10,8 @@
  *
  * <p>Handles overload by a few workspaces that send many times their usual load. While the queue is short, every
  * request is admitted. As soon as requests wait at the selected server and on average at all servers, workspaces above
- * the fair share are rejected, so that the wait stays within the target for the others. From about half of it on, every request is rejected, since a late
- * response delays the following ones too.
+ * the fair share are rejected, so that the wait stays within the target for the others. From about half of it on, every
+ * request is rejected, since a late response delays the following ones too.
  */
 public final class FairSharePolicy implements AdmissionPolicy {
 
--- a/decision/src/main/java/org/coltsfootquay/decision/latency/EngineLatencyModel.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/latency/EngineLatencyModel.java
@@ -149,8 +149,8 @@
      * Moves engines without an observation since the last call halfway to the estimate of their service; to be called
      * once a second.
      *
-     * <p>Engines that seem slow get few requests. They would otherwise keep a wrong estimate, or that of a time in which
-     * they were slow, without end.
+     * <p>Engines that seem slow get few requests. They would otherwise keep a wrong estimate, or that of a time in
+     * which they were slow, without end.
      */
     public void forgetIdleEngines() {
         engines.values().forEach(Engine::forgetIfIdle);
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -32,8 +32,8 @@
     private static final double MAX_CACHE_MISS_PENALTY = 2;
 
     /**
-     * Cost of a running request, as a multiple of the time in which one of the slots becomes free. Running requests last
-     * longer than the reports of other routers take, so they balance large fleets better than the queues do.
+     * Cost of a running request, as a multiple of the time in which one of the slots becomes free. Running requests
+     * last longer than the reports of other routers take, so they balance large fleets better than the queues do.
      */
     private static final double RUNNING_REQUEST_WEIGHT = 0.03;
 
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/PromptLocalitySelectorTest.java
@@ -129,7 +129,7 @@
     }
 
     /**
-     * Routers of a large fleet hear of each other's prompts late. Only the running requests then tell engines apart, and
+     * Routers of a large fleet hear of each other's prompts late. Only the running requests then tell engines apart;
      * without a cost for them, engines got up to 2.4 times the mean load.
      */
     @Test
