--- a/cli/src/main/java/org/coltsfootquay/cli/explain/RequestStory.java
+++ b/cli/src/main/java/org/coltsfootquay/cli/explain/RequestStory.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 
 /**
- * Lines of one router's log that concern a request, with changes of what the router believed meanwhile.
+ * Lines of one router's log that concern a request, with the changes of the router's state meanwhile.
  *
  * <p>One router handles a request, so the order of its log is the order of events, and clocks are not compared.
  */
--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -21,7 +21,10 @@
      */
     private static final double MAX_WAIT_SHARE = 0.45;
 
-    /** Wait, as a fraction of the allowed time, above which workspaces over their fair share are rejected. */
+    /**
+     * Wait, as a fraction of the allowed time, above which workspaces over their fair share are rejected; both the wait
+     * at the selected server and the mean wait have to exceed it.
+     */
     private static final double CONTENTION_THRESHOLD = 0.03;
 
     /** Factor by which a workspace may exceed its fair share; allows for the age of the reports of other routers. */
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingTest.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Stalls below the lag threshold count too: a busy router accepts connections late while its event loop turns on
-     * time. Observed in the run nilehoney-coop-grown scale-1.
+     * A request and the end of its connection were read together after a stall below the lag threshold, and the request
+     * was forwarded before the end was processed.
      */
     @Test
     void requestOfACallerThatDisconnectedDuringAShortStallIsNotForwarded() throws Exception {
--- a/standin/src/main/java/org/coltsfootquay/standin/backend/ColdStart.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/backend/ColdStart.java
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Tells whether the server was cold at a time.
+     * Returns whether the server was cold at a time.
      *
      * @param atNanos time, now or earlier
      * @return whether it was cold
--- a/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
@@ -138,7 +138,7 @@
     }
 
     /**
-     * Tells whether the caller is still connected.
+     * Returns whether the caller is still connected.
      *
      * @return whether an answer can still reach the caller
      */
--- a/standin/src/main/java/org/coltsfootquay/standin/platform/StoredRow.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/platform/StoredRow.java
@@ -22,7 +22,7 @@
     }
 
     /**
-     * Tells whether the time to live has ended.
+     * Returns whether the time to live has ended.
      *
      * @param nowNanos time by the clock of the store
      * @return whether the row has expired
