Do not regard a table copy as complete because a watch reported no change

Cause: a watch that ends without changes moved the revision of the copy on to that of its reply. If the store leaves a change out of a watch, for example while it drops its history, the copy of a peer that has the change was rejected as older and the peers' announcements were ignored, until the next change.

Change: the revision up to which a copy is complete follows from full reads, copies of peers and changes only; where the next watch continues is kept apart. A read with a row older than the copy is ignored, and the store is asked again after a delay.

--- a/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -7,12 +7,15 @@
 /**
  * Copy of one table of the store; used on one event loop.
  *
- * <p>The copy never reverts to an older revision: older changes and older full copies are ignored.
+ * <p>The copy never reverts to an older revision: older changes and older full copies are ignored. The revision that a
+ * watch reports without any change does not prove that the copy is complete, since a watch may miss changes while the
+ * store drops its history; it only says where the next watch continues.
  */
 public final class TableMirror {
 
     private final TreeMap<String, TableRow> rows = new TreeMap<>();
     private long revision;
+    private long watchRevision;
     private long changeRevision;
 
     /** Creates an empty copy at revision 0. */
@@ -21,7 +24,8 @@
     }
 
     /**
-     * Returns the revision of the store up to which the copy is complete.
+     * Returns the revision of the store up to which the copy is known to be complete: that of the last full copy or of
+     * the last change.
      *
      * @return revision, 0 before the first read
      */
@@ -29,6 +33,15 @@
         return revision;
     }
 
+    /**
+     * Returns the revision after which the next watch continues.
+     *
+     * @return revision, at least {@link #revision()}
+     */
+    public long watchRevision() {
+        return watchRevision;
+    }
+
     /**
      * Returns the revision of the last change that the copy includes; equal copies have the same value.
      *
@@ -53,15 +66,16 @@
      * @param newRows all rows
      * @param newRevision revision up to which they are complete
      * @param newChangeRevision revision of the last change
-     * @return false if the rows are older than the copy
+     * @return false if the rows, or any one of them, are older than the copy
      */
     public boolean replace(Collection<TableRow> newRows, long newRevision, long newChangeRevision) {
-        if (newRevision < revision) {
+        if (newRevision < revision || newRows.stream().anyMatch(this::isOlder)) {
             return false;
         }
         rows.clear();
         newRows.forEach(row -> rows.put(row.key(), row));
         revision = newRevision;
+        watchRevision = newRevision;
         changeRevision = Math.max(changeRevision, newChangeRevision);
         return true;
     }
@@ -70,7 +84,7 @@
      * Applies changes in order.
      *
      * @param changes changed and deleted rows
-     * @param newRevision revision up to which the copy is complete afterwards
+     * @param newRevision revision after which the next watch continues
      * @return changes that are newer than the copy
      */
     public List<TableRow> apply(List<TableRow> changes, long newRevision) {
@@ -84,7 +98,13 @@
             }
             changeRevision = Math.max(changeRevision, row.revision());
         }
-        revision = Math.max(revision, newRevision);
+        revision = Math.max(revision, changeRevision);
+        watchRevision = Math.max(watchRevision, Math.max(revision, newRevision));
         return newChanges;
     }
+
+    private boolean isOlder(TableRow row) {
+        TableRow current = rows.get(row.key());
+        return current != null && row.revision() < current.revision();
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -219,7 +219,7 @@
 
         private void watch() {
             if (!stopped) {
-                store.watch(table, mirror.revision(), watchDuration(), this::watchDone);
+                store.watch(table, mirror.watchRevision(), watchDuration(), this::watchDone);
             }
         }
 
@@ -238,8 +238,12 @@
                 callSucceeded();
                 if (mirror.replace(rows.rows(), rows.revision(), newestRevision(rows.rows()))) {
                     listener.tableReplaced(table, mirror.rows());
+                    watch();
+                } else {
+                    // A store that serves stale reads after it dropped its history would be read again at once.
+                    LOG.info("stale_read_ignored", "table", table, "revision", rows.revision());
+                    var unused = timers.scheduleOnce("table watch", INITIAL_RETRY_DELAY, this::watch);
                 }
-                watch();
             } else {
                 String reason =
                         reply instanceof StoreReply.Unavailable unavailable ? unavailable.reason() : "history_gone";
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -168,6 +168,39 @@
         assertEquals(12, watcher.mirror(TABLE).revision());
     }
 
+    /**
+     * While the store drops its history, a watch may end without a change that was made during it. The router then kept
+     * the old configuration until the next change, since it regarded its copy as complete.
+     */
+    @Test
+    void changeThatAWatchLeftOutIsAdoptedFromAPeer() {
+        startAtRevision(7);
+        store.nextCall(TABLE).callback().accept(rows(12));
+        assertTrue(watcher.adoptCopy(TABLE, List.of(row("a", 3), row("c", 10)), 10, 10));
+        assertEquals(List.of("replaced [a]", "replaced [a, c]"), events);
+    }
+
+    @Test
+    void watchWithoutAChangeContinuesAtTheRevisionOfItsReply() {
+        startAtRevision(7);
+        store.nextCall(TABLE).callback().accept(rows(12));
+        assertEquals(12, store.nextCall(TABLE).afterRevision());
+        assertEquals(7, watcher.mirror(TABLE).revision());
+    }
+
+    @Test
+    void readWithARowOlderThanTheCopyIsIgnored() {
+        startAtRevision(7);
+        store.nextCall(TABLE).callback().accept(rows(9, row("a", 9)));
+        timers.advance(watcher.changeDelay(TABLE).toNanos());
+        store.nextCall(TABLE).callback().accept(new StoreReply.HistoryTruncated());
+        store.nextCall(TABLE).callback().accept(rows(20, row("a", 3)));
+        assertEquals(List.of("replaced [a]", "changed [a] to [a]"), events);
+        assertEquals(0, store.pendingCalls(TABLE));
+        timers.advance(timers.nowNanos() + Duration.ofMillis(100).toNanos());
+        assertEquals(9, store.nextCall(TABLE).afterRevision());
+    }
+
     private void startAtRevision(long revision) {
         watcher.start();
         store.nextCall(TABLE).callback().accept(rows(revision, row("a", 3)));
