Keep watching a table when one of its rows cannot be applied

Callers would have been answered by the configuration of that moment for as long as the router runs (by reading, not seen in a run).

Cause: an exception in the listener left the callback of the watch before the next watch was sent.

Change: the failure is logged as table_change_failed and the watch goes on.

Test: failureOfTheListenerDoesNotEndTheWatch failed before.

--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -170,12 +170,21 @@
             return false;
         }
         LOG.info("table_copied", "table", table, "revision", revision);
-        listener.tableReplaced(table, mirror.rows());
+        notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
         // The watch connection did not deliver the changes that the other router has, so it may be dead.
         store.reconnectWatch(table);
         return true;
     }
 
+    /** Notifies the listener; a row that it cannot apply must not end the watch of the table. */
+    private static void notifyListener(WatchedTable table, Runnable notification) {
+        try {
+            notification.run();
+        } catch (RuntimeException e) {
+            LOG.warn("table_change_failed", "table", table, "error", e);
+        }
+    }
+
     private void callSucceeded() {
         consecutiveFailures = 0;
         if (lost) {
@@ -237,7 +246,7 @@
             if (reply instanceof StoreReply.Rows rows) {
                 callSucceeded();
                 if (mirror.replace(rows.rows(), rows.revision(), newestRevision(rows.rows()))) {
-                    listener.tableReplaced(table, mirror.rows());
+                    notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
                     watch();
                 } else {
                     // A store that serves stale reads after it dropped its history would be read again at once.
@@ -260,7 +269,7 @@
                 callSucceeded();
                 List<TableRow> newChanges = mirror.apply(rows.rows(), rows.revision());
                 if (!newChanges.isEmpty()) {
-                    listener.rowsChanged(table, newChanges, mirror.rows());
+                    notifyListener(table, () -> listener.rowsChanged(table, newChanges, mirror.rows()));
                 }
                 if (rows.rows().isEmpty()) {
                     watch();
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -21,6 +21,7 @@
     private final FakeTableStore store = new FakeTableStore();
     private final List<String> events = new ArrayList<>();
     private int routerCount = 1;
+    private boolean failing;
     private final TableWatcher watcher =
             new TableWatcher(store, timers, new Random(1), new RecordingListener(), () -> routerCount);
 
@@ -201,6 +202,16 @@
         assertEquals(9, store.nextCall(TABLE).afterRevision());
     }
 
+    /** One row that could not be applied ended the watch, and with it all later changes. */
+    @Test
+    void failureOfTheListenerDoesNotEndTheWatch() {
+        startAtRevision(7);
+        failing = true;
+        store.nextCall(TABLE).callback().accept(rows(9, row("b", 9)));
+        timers.advance(watcher.changeDelay(TABLE).toNanos());
+        assertEquals(9, store.nextCall(TABLE).afterRevision());
+    }
+
     private void startAtRevision(long revision) {
         watcher.start();
         store.nextCall(TABLE).callback().accept(rows(revision, row("a", 3)));
@@ -227,6 +238,9 @@
 
         @Override
         public void rowsChanged(WatchedTable table, List<TableRow> changes, Collection<TableRow> rows) {
+            if (failing) {
+                throw new IllegalStateException("row cannot be applied");
+            }
             events.add("changed "
                     + changes.stream()
                             .map(row -> (row.deleted() ? "-" : "") + row.key())
