--- a/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
@@ -247,8 +247,7 @@
         }
 
         private static TableRow row(long version, long revision) {
-            return new TableRow(
-                    "config", Long.toString(version).getBytes(StandardCharsets.UTF_8), revision, false);
+            return new TableRow("config", Long.toString(version).getBytes(StandardCharsets.UTF_8), revision, false);
         }
 
         private record Watch(long afterRevision, long endNanos, Consumer<StoreReply> callback) {}
