Treat a response without a request id as a failure, not as a refusal

Cause: a response with the id of another request was discarded, but one without any id was taken for the response to the request in progress, so that a refusal written once more without its id counted as a promise.

Change: a response without an id breaks the connection as unidentified_answer; the request may have run.

--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -25,7 +25,8 @@
  * Connection to a backend server that carries one request at a time.
  *
  * <p>Runs on the event loop of its channel. A response with the id of another request is discarded and the connection
- * keeps waiting, since servers may send an extra response before the expected one.
+ * keeps waiting, since servers may send an extra response before the expected one. A response without an id cannot be
+ * attributed to any request, so it breaks the connection.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
@@ -167,7 +168,13 @@
             return;
         }
         ResponseMetadata metadata = dialect.readResponse(response);
-        discarding = !metadata.requestId().isEmpty() && !metadata.requestId().equals(requestId);
+        if (metadata.requestId().isEmpty() && !requestId.isEmpty()) {
+            // It may answer an earlier request; as a refusal, it would be no promise for this one.
+            fail("unidentified_answer");
+            ChannelUtils.close(channelContext.channel());
+            return;
+        }
+        discarding = !metadata.requestId().equals(requestId);
         if (discarding) {
             return;
         }
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -77,9 +77,15 @@
                 new CallerLimits(8192, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
         loop.submit(() -> context.applyConfiguration(configuration)).sync();
         loop.submit(context::registrationsLoaded).sync();
+        warmUp();
         return this;
     }
 
+    /** Loads the classes of the request path, which can delay the first request until the router seems overloaded. */
+    private void warmUp() throws IOException {
+        call("GET", "/none/", "warm-up");
+    }
+
     /** Registers a server and returns its name. */
     String registerServer(String hostAndPort) throws Exception {
         InetSocketAddress socketAddress = ChannelUtils.parseAddress(hostAndPort);
