Break a resumed stream that does not continue at its last event

Cause: any signed success was passed on as the continuation of a stream, also without an event stream or with events that the caller had; a stream whose end is that of its connection was passed on as complete even within an event. Errors and refusals instead of a resumption already broke the stream.

A stream without a length that ends within an event is truncated.

Tests: resumptionThatStartsOverBreaksTheStream, resumptionWithAGap..., resumptionWithoutEventsOfItsOwn... and streamWithoutLengthThatEndsWithinAnEvent failed before.

--- a/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
@@ -15,10 +15,17 @@
 
     private static final int INITIAL_BYTES = 512;
 
+    /** Digits that fit into a long. */
+    private static final int MAX_DIGITS = 18;
+
     private byte[] buffer = new byte[INITIAL_BYTES];
     private int length;
     private int scannedLength;
     private Optional<String> lastId = Optional.empty();
+    private long lastNumber = -1;
+    private boolean consecutive;
+    private boolean resumed;
+    private boolean outOfOrder;
 
     /** Adds bytes and returns the events that are now complete, as bytes; empty if there are none. */
     byte[] add(ByteBuf bytes) {
@@ -56,6 +63,20 @@
         return incomplete;
     }
 
+    /** Discards an incomplete event; the next event comes from the server that resumes the stream. */
+    void resume() {
+        takeIncomplete();
+        resumed = true;
+    }
+
+    /**
+     * Returns whether an event had an id that does not follow the one before: ids increase, and a resumed stream whose
+     * ids were consecutive continues without a gap.
+     */
+    boolean outOfOrder() {
+        return outOfOrder;
+    }
+
     /** Returns the id of the last complete event that had one. */
     Optional<String> lastId() {
         return lastId;
@@ -69,8 +90,30 @@
                 while (lineEnd < to && buffer[lineEnd] != '\n' && buffer[lineEnd] != '\r') {
                     lineEnd++;
                 }
-                lastId = Optional.of(new String(buffer, i + 3, lineEnd - i - 3, StandardCharsets.UTF_8).strip());
+                recordId(new String(buffer, i + 3, lineEnd - i - 3, StandardCharsets.UTF_8).strip());
             }
         }
     }
+
+    private void recordId(String id) {
+        lastId = Optional.of(id);
+        long number = parseNumber(id);
+        if (number < 0) {
+            return;
+        }
+        if (lastNumber >= 0) {
+            boolean gap = resumed && consecutive && number != lastNumber + 1;
+            outOfOrder |= number <= lastNumber || gap;
+            consecutive = number == lastNumber + 1;
+        }
+        resumed = false;
+        lastNumber = number;
+    }
+
+    /** Returns the value of an id, or -1 if it is no number. */
+    private static long parseNumber(String id) {
+        boolean digits =
+                !id.isEmpty() && id.length() <= MAX_DIGITS && id.chars().allMatch(c -> c >= '0' && c <= '9');
+        return digits ? Long.parseLong(id) : -1;
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/HeaderUtils.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/HeaderUtils.java
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
@@ -48,4 +50,26 @@
         }
         return copy;
     }
+
+    /**
+     * Returns the media type of a body without its parameters.
+     *
+     * @param headers headers as received
+     * @return type in lower case, empty if there is none
+     */
+    static String mediaType(HttpHeaders headers) {
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+        int parameters = type.indexOf(';');
+        return (parameters < 0 ? type : type.substring(0, parameters)).strip().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns whether the end of a body can be told from the end of its connection.
+     *
+     * @param response status line and headers
+     * @return true if the body is chunked or has a length
+     */
+    static boolean hasLength(HttpResponse response) {
+        return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -85,6 +85,7 @@
     private ResponseMetadata responseMetadata;
     private ByteArrayOutputStream responseBody;
     private EventSplitter eventSplitter;
+    private String streamMediaType;
     private int acquireFailures;
     private int sends;
     /** Number of sends that a server may have executed: those not reported as not executed. */
@@ -290,8 +291,13 @@
         }
         if (successful && route.kind() == RouteKind.STREAM) {
             cancelResponseTimer();
-            if (!streaming) {
+            if (streaming) {
+                if (!HeaderUtils.mediaType(response.headers()).equals(streamMediaType)) {
+                    abandonResponse("resumed_without_stream");
+                }
+            } else {
                 streaming = true;
+                streamMediaType = HeaderUtils.mediaType(response.headers());
                 eventSplitter = new EventSplitter();
                 caller.startResponse(response.status(), HeaderUtils.copyEndToEnd(response.headers()));
             }
@@ -311,6 +317,11 @@
             return;
         }
         byte[] completeEvents = eventSplitter.add(bytes);
+        if (eventSplitter.outOfOrder()) {
+            log.responseFailed(selectedServer.entry().server(), "event_order", eventSplitter.lastId());
+            abortStream("event_order");
+            return;
+        }
         if (eventSplitter.incompleteBytes() > responseLimits().eventBytes()) {
             abandonResponse("endless_event");
             return;
@@ -360,9 +371,13 @@
         cancelResponseTimer();
         HttpResponseStatus status = responseHead.status();
         if (streaming && status.codeClass() == HttpStatusClass.SUCCESS) {
-            byte[] incompleteEvent = eventSplitter.takeIncomplete();
-            if (incompleteEvent.length > 0) {
-                caller.writeBody(incompleteEvent);
+            if (eventSplitter.incompleteBytes() > 0) {
+                if (!HeaderUtils.hasLength(responseHead)) {
+                    // The end of the connection does not tell a complete stream from one that broke within an event.
+                    responseFailed("truncated_event");
+                    return;
+                }
+                caller.writeBody(eventSplitter.takeIncomplete());
             }
             caller.endResponse();
             if (sends == 1) {
@@ -455,7 +470,7 @@
     private void retry(String cause) {
         reservation.release();
         if (eventSplitter != null) {
-            eventSplitter.takeIncomplete();
+            eventSplitter.resume();
         }
         context.metrics().count("coltsfootquay_repeats_total");
         log.retried(cause, sends);
--- a/router/src/test/java/org/coltsfootquay/router/forward/EventSplitterTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EventSplitterTest.java
@@ -1,6 +1,8 @@
 package org.coltsfootquay.router.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -52,6 +54,36 @@
         assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", events.toString());
     }
 
+    @Test
+    void idsMayIncreaseBySeveral() {
+        add("id: 4\n\nid: 8\n\n");
+        splitter.resume();
+        add("id: 12\n\nid: 13\n\n");
+        assertFalse(splitter.outOfOrder());
+    }
+
+    @Test
+    void repeatedIdIsOutOfOrder() {
+        add("id: 1\n\nid: 2\n\n");
+        splitter.resume();
+        add("id: 1\n\n");
+        assertTrue(splitter.outOfOrder());
+    }
+
+    @Test
+    void gapAfterResumptionIsOutOfOrder() {
+        add("id: 1\n\nid: 2\n\n");
+        splitter.resume();
+        add("id: 4\n\n");
+        assertTrue(splitter.outOfOrder());
+    }
+
+    @Test
+    void idsThatAreNoNumbersHaveNoOrder() {
+        add("id: b\n\nid: a\n\n");
+        assertFalse(splitter.outOfOrder());
+    }
+
     private String add(String text) {
         byte[] completeEvents = splitter.add(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
         return new String(completeEvents, StandardCharsets.UTF_8);
--- a/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -14,11 +15,14 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against servers that repeat refusals or stop within a response head. */
+/** Guards against servers that repeat refusals, answer a resumption with an error or stop within a response head. */
 final class FaultyServerTest {
 
     private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
     private static final String NOT_RUN = "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n";
+    private static final String TWO_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
 
     private final List<ScriptedServer> servers = new ArrayList<>();
     private ForwardingFixture fixture;
@@ -86,6 +90,59 @@
         assertTrue(response.endsWith("booked"), response);
     }
 
+    /** A caller found the error of the second server within its stream, or a stream that seemed complete. */
+    @Test
+    void errorInsteadOfAResumptionBreaksTheStream() throws Exception {
+        for (String status : List.of("500", "404", "503", "301")) {
+            serveBrokenStreamThen(
+                    "HTTP/1.1 " + status + " X\r\nX-Id: $id\r\nX-Seal: seal\r\nContent-Length: 5\r\n\r\noops!");
+            assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/" + status, "id-" + status));
+            restart();
+        }
+    }
+
+    @Test
+    void refusedResumptionBreaksTheStream() throws Exception {
+        serveBrokenStreamThen(NOT_RUN + "X-Id: $id\r\n\r\n");
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    @Test
+    void unsignedResumptionBreaksTheStream() throws Exception {
+        serveBrokenStreamThen("HTTP/1.1 200 X\r\nX-Id: $id\r\nContent-Length: 5\r\n\r\noops!");
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    /** A server that ignores the point of resumption sends events that the caller has already received. */
+    @Test
+    void resumptionThatStartsOverBreaksTheStream() throws Exception {
+        serveBrokenStreamThen(streamHead() + chunk(TWO_EVENTS + "id: 3\ndata: c\n\n") + LAST_CHUNK);
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    @Test
+    void resumptionWithAGapBreaksTheStream() throws Exception {
+        serveBrokenStreamThen(streamHead() + chunk("id: 4\ndata: d\n\n") + LAST_CHUNK);
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    @Test
+    void resumptionWithoutEventsOfItsOwnIsNoEvent() throws Exception {
+        serveBrokenStreamThen("HTTP/1.1 200 X\r\nX-Id: $id\r\nX-Seal: seal\r\nContent-Length: 5\r\n\r\noops!");
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    /** A stream that ends with its connection within an event looked complete. */
+    @Test
+    void streamWithoutLengthThatEndsWithinAnEventIsBroken() throws Exception {
+        serve((head, output, socket) -> {
+            output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head)
+                    + "\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n" + TWO_EVENTS + "id: 3\nda"));
+            socket.close();
+        });
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/stream/a", "id-1"));
+    }
+
     /** A head that ends early became a success with an empty body. */
     @Test
     void headThatEndsAnywhereIsNoResponse() throws Exception {
@@ -106,12 +163,54 @@
         }
     }
 
+    @Test
+    void resumptionWhoseHeadEndsEarlyBreaksTheStream() throws Exception {
+        serveBrokenStreamThen("HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Seal: seal\r\nContent-Len");
+        assertBrokenAfterTwoEvents(fixture.call("POST", "/resume/a", "id-1"));
+    }
+
+    /** Starts two servers that break their first stream after two events; the resumption gets the response. */
+    private void serveBrokenStreamThen(String resumption) throws Exception {
+        ScriptedServer.Script script = (head, output, socket) -> {
+            if (head.contains("X-Resume: ")) {
+                output.write(ScriptedServer.ascii(resumption.replace("$id", id(head))));
+            } else {
+                output.write(ScriptedServer.ascii(streamHead().replace("$id", id(head)) + chunk(TWO_EVENTS)));
+            }
+            output.flush();
+            socket.close();
+        };
+        serve(script);
+        serve(script);
+    }
+
+    private void restart() throws Exception {
+        stop();
+        servers.clear();
+        start();
+    }
+
+    private static void assertBrokenAfterTwoEvents(String response) {
+        assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        assertFalse(response.endsWith(LAST_CHUNK), response);
+        String body = response.substring(response.indexOf("\r\n\r\n") + 4).replaceAll("(?m)^[0-9a-f]+\r\n", "");
+        assertEquals(TWO_EVENTS, body.replace("\r\n", "").replace("[reset]", ""), response);
+    }
+
     private void serve(ScriptedServer.Script script) throws Exception {
         ScriptedServer server = new ScriptedServer(script);
         servers.add(server);
         fixture.registerServer(server.address());
     }
 
+    private static String streamHead() {
+        return "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Seal: seal\r\n" + EVENT_STREAM;
+    }
+
+    private static String chunk(String events) {
+        return Integer.toHexString(events.length()) + "\r\n" + events + "\r\n";
+    }
+
     private static byte[] signed(String head, String body) {
         return ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\nContent-Length: "
                 + body.length() + "\r\n\r\n" + body);
