Observe servers that say in a response that they leave or want a pause

Cause: leaving was known from the registration, 421 and silence only; the Retry-After of a refusal was dropped.

Change: ServerNotices records by incarnation what a server says; the choice of a server and the check before each send ask it. Malformed times are ignored, long ones cut to maxServerPause. After a pause a server gets requests as it serves them. If all servers of a service pause, callers are refused at once with the end of the first pause.

--- a/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
@@ -1,6 +1,8 @@
 package org.coltsfootquay.decision.selection;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,19 +11,22 @@
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.limit.ColdStartLimiter;
+import org.coltsfootquay.decision.notice.ServerNotices;
 import org.coltsfootquay.decision.route.ServicePolicy;
 
 /**
  * Filters the servers of a service to those that may get a request now, and delegates the selection among them.
  *
- * <p>Not thread-safe. Servers that are leaving or in an evacuated zone are never selected. A cold server, or one that
+ * <p>Not thread-safe. Servers that are leaving, pause or are in an evacuated zone are never selected. A cold server, or one that
  * may have restarted unnoticed, is selected only within the rate limit that all routers share.
  */
 public final class EligibleServerSelector {
 
     private final BackendRegistry registry;
     private final ServerHealth health;
+    private final ServerNotices notices;
     private final ColdStartLimiter coldLimiter;
     private final double coldRateFactor;
     private final double coldRateAllowance;
@@ -31,6 +36,7 @@
      *
      * @param registry registered servers
      * @param health health of servers
+     * @param notices what servers have said of themselves
      * @param coldLimiter limiter for cold servers
      * @param coldRateFactor factor applied to the configured request rate of cold servers
      * @param coldRateAllowance requests per second that a cold server tolerates beyond that rate
@@ -38,11 +44,13 @@
     public EligibleServerSelector(
             BackendRegistry registry,
             ServerHealth health,
+            ServerNotices notices,
             ColdStartLimiter coldLimiter,
             double coldRateFactor,
             double coldRateAllowance) {
         this.registry = ArgumentUtils.requireValue(registry, "registry");
         this.health = ArgumentUtils.requireValue(health, "health");
+        this.notices = ArgumentUtils.requireValue(notices, "notices");
         this.coldLimiter = ArgumentUtils.requireValue(coldLimiter, "coldLimiter");
         this.coldRateFactor = coldRateFactor;
         this.coldRateAllowance = coldRateAllowance;
@@ -66,7 +74,7 @@
             List<RouterId> routers) {
         long nowNanos = request.nowNanos();
         List<BackendEntry> eligible = new ArrayList<>(registry.eligible(service.name(), nowNanos));
-        eligible.removeIf(entry -> tried.contains(entry.server()));
+        eligible.removeIf(entry -> tried.contains(entry.server()) || !notices.maySend(entry, nowNanos));
         List<BackendEntry> allowed = eligible.stream()
                 .filter(entry -> !isCold(entry, service, nowNanos)
                         || coldLimiter.maySend(entry.server(), coldRateLimit(service), routers, nowNanos))
@@ -87,7 +95,8 @@
      * @return false if the server may no longer get the request
      */
     public boolean tryAcquire(BackendEntry entry, ServicePolicy service, List<RouterId> routers, long nowNanos) {
-        if (registry.eligible(entry.server(), nowNanos).isEmpty()) {
+        Optional<BackendEntry> current = registry.eligible(entry.server(), nowNanos);
+        if (current.isEmpty() || !notices.maySend(current.get(), nowNanos)) {
             return false;
         }
         if (isCold(entry, service, nowNanos)) {
@@ -96,9 +105,25 @@
             }
             coldLimiter.recordSent(entry.server(), nowNanos);
         }
+        notices.recordSent(current.get(), nowNanos);
         return true;
     }
 
+    /**
+     * Returns the time until the first pause of a server of a service ends.
+     *
+     * @param service service
+     * @param nowNanos current time
+     * @return time, or empty if no server pauses that may get requests later
+     */
+    public Optional<Duration> firstPauseEnd(ServiceName service, long nowNanos) {
+        return registry.eligible(service, nowNanos).stream()
+                .filter(entry -> !notices.isLeaving(entry))
+                .map(entry -> notices.remainingPause(entry, nowNanos))
+                .filter(pause -> !pause.isZero())
+                .min(Comparator.naturalOrder());
+    }
+
     private boolean isCold(BackendEntry entry, ServicePolicy service, long nowNanos) {
         return service.coldRatePerSecond() > 0
                 && (nowNanos < registry.coldUntilNanos(entry.server())
--- a/decision/src/test/java/org/coltsfootquay/decision/selection/EligibleServerSelectorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/selection/EligibleServerSelectorTest.java
@@ -16,6 +16,7 @@
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.limit.ColdStartLimiter;
+import org.coltsfootquay.decision.notice.ServerNotices;
 import org.coltsfootquay.decision.route.ServicePolicy;
 import org.junit.jupiter.api.Test;
 
@@ -28,6 +29,7 @@
 
     private final BackendRegistry registry = new BackendRegistry();
     private final ServerHealth health = new ServerHealth();
+    private final ServerNotices notices = new ServerNotices();
     private final ServerSelector first =
             (candidates, request) -> candidates.stream().findFirst().map(SelectedServer::withoutEstimate);
 
@@ -67,6 +69,24 @@
         assertFalse(selector("r1").tryAcquire(selected, SERVICE, routers(1), 2));
     }
 
+    @Test
+    void serverThatSaidThatItLeavesIsNotSelected() {
+        register("s1", Duration.ZERO);
+        notices.recordLeaving(entry("s1", Duration.ZERO), 0);
+        assertTrue(select(selector("r1"), Set.of(), 1, 1).isEmpty());
+        assertFalse(selector("r1").tryAcquire(entry("s1", Duration.ZERO), SERVICE, routers(1), 1));
+    }
+
+    @Test
+    void pausedServerIsNotSelectedUntilItsPauseEnds() {
+        register("s1", Duration.ZERO);
+        notices.recordPause(entry("s1", Duration.ZERO), Duration.ofSeconds(2), 0);
+        assertTrue(select(selector("r1"), Set.of(), 1, 1).isEmpty());
+        assertEquals(Optional.of(Duration.ofSeconds(1)), selector("r1").firstPauseEnd(SERVICE.name(), SECOND));
+        assertTrue(select(selector("r1"), Set.of(), 1, 2 * SECOND).isPresent());
+        assertEquals(Optional.empty(), selector("r1").firstPauseEnd(SERVICE.name(), 2 * SECOND));
+    }
+
     /** All routers try to send to one cold server at once; no interval of one second may exceed the limit. */
     @Test
     void coldServerStaysWithinTheLimitOfAllRoutersTogether() {
@@ -76,8 +96,8 @@
             List<Long> sent = new ArrayList<>();
             List<EligibleServerSelector> selectors = new ArrayList<>();
             for (RouterId router : routers(routers)) {
-                selectors.add(
-                        new EligibleServerSelector(cold, new ServerHealth(), new ColdStartLimiter(router), 1.5, 5));
+                selectors.add(new EligibleServerSelector(
+                        cold, new ServerHealth(), new ServerNotices(), new ColdStartLimiter(router), 1.5, 5));
             }
             for (long now = 0; now < 10 * SECOND; now += SECOND / 50) {
                 for (EligibleServerSelector selector : selectors) {
@@ -98,7 +118,8 @@
     }
 
     private EligibleServerSelector selector(String router) {
-        return new EligibleServerSelector(registry, health, new ColdStartLimiter(new RouterId(router)), 1.5, 5);
+        return new EligibleServerSelector(
+                registry, health, notices, new ColdStartLimiter(new RouterId(router)), 1.5, 5);
     }
 
     private Optional<SelectedServer> select(
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -23,6 +23,8 @@
 import org.coltsfootquay.decision.latency.FirstEventObservation;
 import org.coltsfootquay.decision.latency.PrefillBacklog;
 import org.coltsfootquay.decision.limit.ColdStartLimiter;
+import org.coltsfootquay.decision.notice.PauseParser;
+import org.coltsfootquay.decision.notice.ServerNotices;
 import org.coltsfootquay.decision.peer.PeerTable;
 import org.coltsfootquay.decision.retry.FleetRetryShare;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
@@ -49,6 +51,9 @@
     /** Interval at which the latency estimates of engines without observations approach those of their service. */
     private static final Duration IDLE_ENGINE_INTERVAL = Duration.ofSeconds(1);
 
+    /** Interval of the removal of notices; a fraction of the time for which they are retained. */
+    private static final Duration NOTICE_REMOVAL_INTERVAL = Duration.ofSeconds(5);
+
     private final ZoneName zone;
     private final TimerService timers;
     private final RequestDialect dialect;
@@ -60,6 +65,8 @@
     private final LoadTracker loads = new LoadTracker();
     private final PromptCacheView promptCaches = new PromptCacheView();
     private final ServerHealth health = new ServerHealth();
+    private final ServerNotices notices = new ServerNotices();
+    private final NoticeRecorder noticeRecorder;
     private final EngineLatencyModel latencyModel = new EngineLatencyModel();
     private final PrefillBacklog prefillBacklog = new PrefillBacklog(latencyModel);
     private final Map<ServerName, FirstEventObservation> newObservations = new HashMap<>();
@@ -85,6 +92,7 @@
      * @param connectionPool pool of connections to servers
      * @param peers other routers
      * @param limits limits that apply to all routers together
+     * @param maxServerPause longest pause that a server may ask for
      * @param metrics metrics
      */
     public ForwardingContext(
@@ -95,6 +103,7 @@
             ServerConnectionPool connectionPool,
             PeerTable peers,
             FleetLimits limits,
+            Duration maxServerPause,
             RouterMetrics metrics) {
         this.zone = zone;
         this.timers = timers;
@@ -106,9 +115,15 @@
         this.demands = new DemandTracker(timers.nowNanos());
         timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
         timers.schedulePeriodic("idle engines", IDLE_ENGINE_INTERVAL, latencyModel::forgetIdleEngines);
+        timers.schedulePeriodic(
+                "notice removal",
+                NOTICE_REMOVAL_INTERVAL,
+                () -> notices.removeUnregistered(registry.servers(), timers.nowNanos()));
+        this.noticeRecorder =
+                new NoticeRecorder(notices, new PauseParser(maxServerPause), connectionPool, metrics, timers);
         this.retryShare = new FleetRetryShare(limits.retryRatio(), limits.retryAllowance(), limits.retryWindow());
         this.eligibleServerSelector = new EligibleServerSelector(
-                registry, health, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
+                registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
     }
 
     /**
@@ -368,6 +383,14 @@
         return health;
     }
 
+    ServerNotices notices() {
+        return notices;
+    }
+
+    NoticeRecorder noticeRecorder() {
+        return noticeRecorder;
+    }
+
     FleetRetryShare retryShare() {
         return retryShare;
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -162,7 +162,7 @@
                         context.selector(service),
                         context.peers().members());
         if (choice.isEmpty()) {
-            fail("no_server", RetryAfter.NO_SERVER);
+            failWithoutServer();
             return;
         }
         selectedServer = choice.get();
@@ -175,6 +175,16 @@
         context.connectionPool().acquire(target, this::send, reason -> connectFailed(target, reason));
     }
 
+    /** Ends the request because no server may get it now. */
+    private void failWithoutServer() {
+        Optional<Duration> pauseEnd = context.eligibleServerSelector().firstPauseEnd(service.name(), now());
+        if (pauseEnd.isPresent()) {
+            fail("servers_paused", RetryAfter.forPauseEnd(pauseEnd.get()));
+        } else {
+            fail("no_server", RetryAfter.NO_SERVER);
+        }
+    }
+
     /** Returns whether the selected server has capacity for the request now. */
     private boolean admitted() {
         long waited = now() - arrivalNanos;
@@ -245,7 +255,7 @@
             reservation.release();
             acquireFailures++;
             if (acquireFailures >= MAX_ACQUIRE_FAILURES) {
-                fail("no_server", RetryAfter.NO_SERVER);
+                failWithoutServer();
             } else {
                 trySend();
             }
@@ -283,6 +293,8 @@
         responseHead = response;
         responseMetadata = parsedMetadata;
         responseBody = new ByteArrayOutputStream();
+        context.noticeRecorder()
+                .responseReceived(selectedServer.entry(), requestMetadata.requestId(), response, parsedMetadata);
         boolean successful = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (successful && (!parsedMetadata.signed() || parsedMetadata.contentEncoded())) {
             connection.discard();
@@ -334,6 +346,7 @@
             reservation.promptProcessed();
             recordFirstEvent();
             context.health().recordResponse(selectedServer.entry().server(), true, firstEventNanos);
+            context.notices().recordServed(selectedServer.entry(), firstEventNanos);
             context.metrics()
                     .recordLatency(
                             "coltsfootquay_first_event_seconds{service=\"" + service.name() + "\"}",
@@ -392,7 +405,15 @@
             return;
         }
         boolean failed = status.codeClass() == HttpStatusClass.SERVER_ERROR;
-        context.health().recordResponse(server, !failed, now());
+        if (!failed) {
+            context.health().recordResponse(server, true, now());
+            context.notices().recordServed(selectedServer.entry(), now());
+        } else if (context.notices()
+                .remainingPause(selectedServer.entry(), now())
+                .isZero()) {
+            // A server that asked for a pause is not unhealthy.
+            context.health().recordResponse(server, false, now());
+        }
         if (failed && tryAcquireRetry()) {
             retry("server_error");
         } else if (streaming) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/ResponseMetadata.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ResponseMetadata.java
@@ -7,5 +7,7 @@
  * @param signed true if the response has the server's signature
  * @param notExecuted true if the server states that it did not execute the request and will not
  * @param contentEncoded true if the body has a content encoding applied to the server's original body
+ * @param leaving true if the server states that it is about to stop
  */
-public record ResponseMetadata(String requestId, boolean signed, boolean notExecuted, boolean contentEncoded) {}
+public record ResponseMetadata(
+        String requestId, boolean signed, boolean notExecuted, boolean contentEncoded, boolean leaving) {}
--- a/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
@@ -35,6 +35,9 @@
     /** Fraction of the target latency to which the queue time should have fallen when the caller retries. */
     private static final double TARGET_QUEUE_SHARE = 0.4;
 
+    /** Time over which callers return after a pause of all servers; about that in which a server returns to full load. */
+    private static final Duration MAX_RETURN_SPREAD = Duration.ofSeconds(1);
+
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     private RetryAfter() {}
@@ -46,6 +49,16 @@
         return Duration.ofMillis((long) Math.min(MAX_MILLIS, Math.max(MIN_MILLIS, millis) * jitter));
     }
 
+    /**
+     * Returns the time until the first paused server accepts requests, plus a random part in which it serves the
+     * requests that return one after the other.
+     */
+    static Duration forPauseEnd(Duration pauseEnd) {
+        double spread =
+                MAX_RETURN_SPREAD.toMillis() * ThreadLocalRandom.current().nextDouble();
+        return pauseEnd.plusMillis((long) spread);
+    }
+
     static void setHeader(HttpHeaders headers, Duration after) {
         headers.set(
                 HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", after.toMillis() / MILLIS_PER_SECOND));
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -106,6 +106,7 @@
                 connectionPool,
                 peers,
                 settings.fleetLimits(),
+                settings.maxServerPause(),
                 metrics);
         this.callers = new CallerConnections(eventLoop, forwarding);
         this.store = platform.store(eventLoop, settings);
--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -26,6 +26,7 @@
  * @param addressTime time for which callers may cache the addresses of routers
  * @param fleetLimits limits that apply to all routers together
  * @param responseLimits limits of the responses of servers
+ * @param maxServerPause longest pause that a server may ask for
  */
 public record NodeSettings(
         RouterId id,
@@ -42,7 +43,8 @@
         Duration stopTime,
         Duration addressTime,
         FleetLimits fleetLimits,
-        ResponseLimits responseLimits) {
+        ResponseLimits responseLimits,
+        Duration maxServerPause) {
 
     private static final int MAX_PORT = 65535;
 
@@ -63,6 +65,9 @@
     /** Retries per window in addition to the ratio, so that a fleet with little traffic can retry at all. */
     private static final double DEFAULT_RETRY_ALLOWANCE = 10;
 
+    /** Default of the longest pause; a server that needs more time is expected to leave. */
+    private static final Duration DEFAULT_MAX_SERVER_PAUSE = Duration.ofMinutes(5);
+
     private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
 
     /** Factor on the rate that a cold server accepts; 1 makes the stated rate itself the limit. */
@@ -95,7 +100,8 @@
                 root.duration("stopTime").orElse(DEFAULT_STOP_TIME),
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
                 root.object("bounds", NodeSettings::readFleetLimits).orElseGet(NodeSettings::defaultFleetLimits),
-                root.object("responses", NodeSettings::readResponseLimits).orElse(ResponseLimits.DEFAULT));
+                root.object("responses", NodeSettings::readResponseLimits).orElse(ResponseLimits.DEFAULT),
+                root.duration("maxServerPause").orElse(DEFAULT_MAX_SERVER_PAUSE));
     }
 
     private static ResponseLimits readResponseLimits(SettingsObject limits) {
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -54,6 +54,7 @@
                 new ServerConnectionPool(loop, dialect, System::nanoTime, ResponseLimits.DEFAULT),
                 new PeerTable(self),
                 new FleetLimits(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
+                Duration.ofMinutes(5),
                 new RouterMetrics());
         callers = new CallerConnections(loop, context);
         address = (InetSocketAddress)
@@ -90,6 +91,16 @@
     String registerServer(String hostAndPort) throws Exception {
         InetSocketAddress socketAddress = ChannelUtils.parseAddress(hostAndPort);
         String name = "s" + serverCount++;
+        putServer(name, socketAddress, 1);
+        return name;
+    }
+
+    /** Registers a new incarnation of a server. */
+    void restartServer(String name, String hostAndPort) throws Exception {
+        putServer(name, ChannelUtils.parseAddress(hostAndPort), 2);
+    }
+
+    private void putServer(String name, InetSocketAddress socketAddress, long startedMillis) throws Exception {
         BackendEntry entry = new BackendEntry(
                 new ServerName(name),
                 SERVICE,
@@ -99,9 +110,8 @@
                 8,
                 false,
                 Duration.ZERO,
-                1);
+                startedMillis);
         loop.submit(() -> context.registry().put(entry, System.nanoTime())).sync();
-        return name;
     }
 
     /** Removes the registration of a server. */
--- a/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
@@ -37,6 +37,7 @@
                 headers.get("X-Id", ""),
                 headers.contains("X-Seal"),
                 headers.contains("X-Not-Run"),
-                headers.contains("Content-Encoding"));
+                headers.contains("Content-Encoding"),
+                headers.contains("X-Leaving"));
     }
 }
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -111,7 +111,15 @@
             peers = new PeerTable(self);
             FleetLimits limits = new FleetLimits(0.2, 50, Duration.ofSeconds(10), 1.5, 5);
             forwarding = new ForwardingContext(
-                    self.id(), self.zone(), timers, null, null, peers, limits, new RouterMetrics());
+                    self.id(),
+                    self.zone(),
+                    timers,
+                    null,
+                    null,
+                    peers,
+                    limits,
+                    Duration.ofMinutes(5),
+                    new RouterMetrics());
             TableWatcher watcher = new TableWatcher(null, timers, new Random(1), null, () -> 2);
             CacheViewBootstrap cacheBootstrap = new CacheViewBootstrap(self.zone(), forwarding, null, timers);
             exchange = new BeaconExchange(
--- a/router/src/test/java/org/coltsfootquay/router/node/CacheViewBootstrapTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/CacheViewBootstrapTest.java
@@ -131,6 +131,7 @@
                     null,
                     new PeerTable(unbound),
                     new FleetLimits(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
+                    Duration.ofMinutes(5),
                     new RouterMetrics());
             TableCopyExchange copyExchange =
                     new TableCopyExchange(loop, watcher, () -> CacheViewBootstrap.snapshot(forwarding));
