--- a/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/EligibleServerSelector.java
@@ -19,8 +19,8 @@
 /**
  * Filters the servers of a service to those that may get a request now, and delegates the selection among them.
  *
- * <p>Not thread-safe. Servers that are leaving, pause or are in an evacuated zone are never selected. A cold server, or one that
- * may have restarted unnoticed, is selected only within the rate limit that all routers share.
+ * <p>Not thread-safe. Servers that are leaving, pause or are in an evacuated zone are never selected. A cold server, or
+ * one that may have restarted unnoticed, is selected only within the rate limit that all routers share.
  */
 public final class EligibleServerSelector {
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
@@ -35,7 +35,7 @@
     /** Fraction of the target latency to which the queue time should have fallen when the caller retries. */
     private static final double TARGET_QUEUE_SHARE = 0.4;
 
-    /** Time over which callers return after a pause of all servers; about that in which a server returns to full load. */
+    /** Time over which callers return after a pause of all servers; a server returns to full load in about as long. */
     private static final Duration MAX_RETURN_SPREAD = Duration.ofSeconds(1);
 
     private static final double MILLIS_PER_SECOND = 1000.0;
--- a/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
@@ -107,10 +107,9 @@
             fixture.call("POST", "/once/a", "id-1");
         }
         serve((head, output, socket) -> {
-            output.write(
-                    ScriptedServer.ascii(
-                            "HTTP/1.1 200 X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\n"
-                                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"));
+            output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\n"
+                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "f\r\nid: 1\ndata: a\n\n\r\n"));
             output.flush();
             socket.close();
         });
