Reject workspaces below their share later than the others

Cause: in a large fleet routers know of each other's dispatches up to a second late. Workspaces above their share are admitted meanwhile and fill the queues to the wait above which every request was rejected, so a workspace far below its share was rejected as often as they were.

Change: above that wait a workspace below its share is still admitted, up to a wait that grows with what it lacks. The workspaces at their share, which fill the queues, are rejected as before.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -10,17 +10,22 @@
  *
  * <p>Handles overload by a few workspaces that send many times their usual load. While the queue is short, every
  * request is admitted. As soon as requests wait at the selected server and on average at all servers, workspaces above
- * the fair share are rejected, so that the wait stays within the target for the others. From about half of it on, every
- * request is rejected, since a late response delays the following ones too.
+ * the fair share are rejected, so that the wait stays within the target for the others. From about half of it on,
+ * workspaces at their share are rejected too, since a late response delays the following ones; a workspace below its
+ * share is rejected the later, the less it got. Otherwise it would be refused as often as the others while reports of
+ * other routers are old enough for those to fill the queues.
  */
 public final class FairSharePolicy implements AdmissionPolicy {
 
     /**
-     * Wait, as a fraction of the time that the target allows, above which every request is rejected; the rest is for
-     * prefill of the request itself and for requests that other routers send at the same moment.
+     * Wait, as a fraction of the time that the target allows, above which workspaces at their fair share are rejected;
+     * the rest is for prefill of the request itself and for requests that other routers send at the same moment.
      */
     private static final double MAX_WAIT_SHARE = 0.45;
 
+    /** Wait, as a fraction of the allowed time, above which a workspace that got nothing is rejected. */
+    private static final double MAX_WAIT_SHARE_BELOW_FAIR_SHARE = 0.75;
+
     /**
      * Wait, as a fraction of the allowed time, above which workspaces over their fair share are rejected; both the wait
      * at the selected server and the mean wait have to exceed it.
@@ -47,17 +52,22 @@
         if (waitFraction <= CONTENTION_THRESHOLD) {
             return true;
         }
-        if (waitFraction > MAX_WAIT_SHARE) {
+        if (waitFraction > MAX_WAIT_SHARE_BELOW_FAIR_SHARE) {
             return false;
         }
-        if (fraction(meanWaitTime, allowedTime) <= CONTENTION_THRESHOLD) {
+        if (waitFraction <= MAX_WAIT_SHARE && fraction(meanWaitTime, allowedTime) <= CONTENTION_THRESHOLD) {
             // The other servers have room, so the wait at this one does not come from workspaces over their share.
             return true;
         }
         Map<WorkspaceId, Demand> all = demands.get();
         double fairShare = DemandTracker.maxMinFairShare(all.values());
         double dispatched = all.getOrDefault(workspace, Demand.NONE).dispatchedTokens();
-        return dispatched <= fairShare * SHARE_TOLERANCE;
+        if (waitFraction <= MAX_WAIT_SHARE) {
+            return dispatched <= fairShare * SHARE_TOLERANCE;
+        }
+        // Without a bounded share nobody was refused lately, so nobody is below it.
+        double missing = fairShare == Double.MAX_VALUE ? 0 : 1 - dispatched / Math.max(1, fairShare);
+        return waitFraction <= MAX_WAIT_SHARE + (MAX_WAIT_SHARE_BELOW_FAIR_SHARE - MAX_WAIT_SHARE) * missing;
     }
 
     private static double fraction(Duration waitTime, Duration allowedTime) {
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
@@ -44,6 +44,21 @@
         assertTrue(policy.admits(LIGHT, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(300), TARGET));
     }
 
+    /** Above the wait at which workspaces at their share are rejected, those below it were rejected as often. */
+    @Test
+    void workspaceBelowTheFairShareIsRejectedLaterThanTheOthers() {
+        Duration wait = Duration.ofMillis(440);
+        assertTrue(policy.admits(LIGHT, 10, () -> CONTENDED, wait, wait, TARGET));
+        assertFalse(policy.admits(HEAVY, 10, () -> CONTENDED, wait, wait, TARGET));
+    }
+
+    @Test
+    void noWorkspaceIsBelowItsShareWhileEverythingIsDispatched() {
+        Map<WorkspaceId, Demand> demands = Map.of(LIGHT, new Demand(100, 100), HEAVY, new Demand(1000, 1000));
+        Duration wait = Duration.ofMillis(440);
+        assertFalse(policy.admits(LIGHT, 10, () -> demands, wait, wait, TARGET));
+    }
+
     @Test
     void everyRequestIsRejectedWhenTheResponseWouldBeTooLate() {
         assertFalse(
