Accept all digits of a double in Retry-After

What callers would see: requests refused by an engine that had asked for a pause (BUDGET).

Test: allDigitsOfADoubleAreAccepted.

--- a/decision/src/main/java/org/coltsfootquay/decision/notice/PauseParser.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/notice/PauseParser.java
@@ -14,8 +14,8 @@
  */
 public final class PauseParser {
 
-    /** Up to 15 digits before and after the point, so that the number of milliseconds is exact enough in a double. */
-    private static final Pattern SECONDS = Pattern.compile("\\d{1,15}(\\.\\d{1,15})?");
+    /** A double that a server prints has up to 17 digits; longer texts are no time that a server computed. */
+    private static final Pattern SECONDS = Pattern.compile("\\d{1,40}(\\.\\d{1,40})?");
 
     private static final double MILLIS_PER_SECOND = 1000;
 
