Play callers on kept connections against faulty engines

ForwardingSoakTest: five engines leave, pause, restart, refuse, repeat refusals, cut and spoil responses; sixteen callers keep their connections. What the engines and the callers saw is checked for DRAIN, BUDGET, REFUSED, MIXED and ORDER. Two seeds of 8 s in the build; soak.seeds and soak.seconds make it longer.

--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
@@ -0,0 +1,166 @@
+package org.coltsfootquay.router.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays callers on kept connections against engines that leave, pause, restart and spoil responses.
+ *
+ * <p>A seed determines the faults; their order in time also depends on the threads. The system properties {@code
+ * soak.seeds} and {@code soak.seconds} make it longer.
+ */
+final class ForwardingSoakTest {
+
+    private static final int SEEDS = Integer.getInteger("soak.seeds", 2);
+    private static final int SECONDS = Integer.getInteger("soak.seconds", 8);
+    private static final int ENGINES = 5;
+    private static final int CALLERS = 16;
+    private static final double FAULT_RATE = 0.15;
+    private static final List<String> PATHS = List.of("/once/", "/safe/", "/stream/", "/resume/");
+
+    @Test
+    void guaranteesHoldBesideFaultyEngines() throws Exception {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            try (Run run = new Run(seed)) {
+                run.play();
+                run.check();
+            }
+        }
+    }
+
+    private static final class Run implements AutoCloseable {
+
+        private final long seed;
+        private final Random random;
+        private final ForwardingFixture fixture = new ForwardingFixture().withConfiguration();
+        private final List<EmulatedEngine> engines = new ArrayList<>();
+        private final Map<Integer, EmulatedEngine> current = new HashMap<>();
+        private final Map<Integer, String> names = new HashMap<>();
+        private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
+        private final ConcurrentLinkedQueue<String> refused = new ConcurrentLinkedQueue<>();
+        private final AtomicInteger served = new AtomicInteger();
+        private final AtomicBoolean stopped = new AtomicBoolean();
+
+        private Run(long seed) throws Exception {
+            this.seed = seed;
+            this.random = new Random(seed);
+            for (int i = 0; i < ENGINES; i++) {
+                startEngine(i);
+            }
+        }
+
+        private void startEngine(int slot) throws Exception {
+            EmulatedEngine engine = new EmulatedEngine(random.nextLong(), FAULT_RATE);
+            engines.add(engine);
+            current.put(slot, engine);
+            names.put(slot, fixture.registerServer(engine.address()));
+        }
+
+        private void play() throws Exception {
+            ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+            List<Future<?>> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                String prefix = seed + "-" + i + "-";
+                long callerSeed = random.nextLong();
+                callers.add(threads.submit(() -> sendRequests(prefix, new Random(callerSeed))));
+            }
+            for (int step = 0; step < SECONDS * 2; step++) {
+                Thread.sleep(250);
+                int slot = random.nextInt(ENGINES);
+                current.get(slot).leave();
+                Thread.sleep(250);
+                // The registration of a leaving engine disappears later than its first notice.
+                int replaced = random.nextInt(ENGINES);
+                fixture.removeServer(names.get(replaced));
+                startEngine(replaced);
+            }
+            stopped.set(true);
+            for (Future<?> caller : callers) {
+                caller.get();
+            }
+            threads.shutdown();
+        }
+
+        private void sendRequests(String prefix, Random callerRandom) {
+            try (KeptConnection connection = new KeptConnection(fixture)) {
+                for (int i = 0; !stopped.get(); i++) {
+                    String id = prefix + i;
+                    String path = PATHS.get(callerRandom.nextInt(PATHS.size()));
+                    checkResponse(path, id, connection.call("POST", path + id, id));
+                }
+            } catch (IOException | RuntimeException e) {
+                violations.add("caller " + prefix + " failed: " + e);
+            }
+        }
+
+        private void checkResponse(String path, String id, KeptConnection.Response response) {
+            if (response.status() == 503) {
+                refused.add(id);
+            }
+            if (response.status() != 200) {
+                return;
+            }
+            boolean stream = path.equals("/stream/") || path.equals("/resume/");
+            String whole = stream ? events(id) : "body-" + id;
+            if (response.complete() && !response.body().equals(whole)) {
+                violations.add("MIXED: " + path + id + " got " + response.body());
+            } else if (!whole.startsWith(response.body())) {
+                violations.add("ORDER: " + path + id + " got " + response.body());
+            } else if (response.complete()) {
+                served.incrementAndGet();
+            }
+        }
+
+        private static String events(String id) {
+            StringBuilder events = new StringBuilder();
+            for (int i = 1; i <= EmulatedEngine.EVENTS; i++) {
+                events.append("id: ")
+                        .append(i)
+                        .append("\ndata: ")
+                        .append(id)
+                        .append('-')
+                        .append(i)
+                        .append("\n\n");
+            }
+            return events.toString();
+        }
+
+        private void check() {
+            Map<String, Integer> executions = new HashMap<>();
+            for (EmulatedEngine engine : engines) {
+                violations.addAll(engine.violations);
+                engine.executions.forEach((id, count) -> executions.merge(id, count, Integer::sum));
+            }
+            for (String id : refused) {
+                if (executions.containsKey(id)) {
+                    violations.add("REFUSED: " + id + " was executed");
+                }
+            }
+            assertEquals(Collections.emptyList(), List.copyOf(violations), "seed " + seed);
+            assertTrue(served.get() > 100, "seed " + seed + ": only " + served + " requests were served");
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (EmulatedEngine engine : engines) {
+                engine.close();
+            }
+            fixture.close();
+        }
+    }
+}
