Check in the soak that requests run at most once

The check first counted the two copies of a doubled response of the emulated engine as two executions; the engine executes once and writes twice now.

--- a/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
@@ -117,7 +117,7 @@
             case 1 -> new Reply(refusal(id, ""), false);
             case 2 -> new Reply(refusal(id, "Retry-After: soon\r\n"), false);
             case 3 -> new Reply(earlierRefusal() + success(head, id), false);
-            case 4 -> new Reply(success(head, id) + success(head, id), false);
+            case 4 -> new Reply(success(head, id).repeat(2), false);
             case 5 -> new Reply(part(success(head, id)), true);
             case 6 -> new Reply(executed(id, response(id, "500 X", "X-Seal: seal\r\n", "oops")), false);
             case 7 -> new Reply(executed(id, response(id, "200 X", "", "forged")), false);
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
@@ -53,6 +53,7 @@
         private final Map<Integer, String> names = new HashMap<>();
         private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
         private final ConcurrentLinkedQueue<String> refused = new ConcurrentLinkedQueue<>();
+        private final ConcurrentLinkedQueue<String> atMostOnce = new ConcurrentLinkedQueue<>();
         private final AtomicInteger served = new AtomicInteger();
         private final AtomicBoolean stopped = new AtomicBoolean();
 
@@ -101,6 +102,9 @@
                 for (int i = 0; !stopped.get(); i++) {
                     String id = prefix + i;
                     String path = PATHS.get(callerRandom.nextInt(PATHS.size()));
+                    if (path.equals("/once/") || path.equals("/stream/")) {
+                        atMostOnce.add(id);
+                    }
                     checkResponse(path, id, connection.call("POST", path + id, id));
                 }
             } catch (IOException | RuntimeException e) {
@@ -151,6 +155,11 @@
                     violations.add("REFUSED: " + id + " was executed");
                 }
             }
+            for (String id : atMostOnce) {
+                if (executions.getOrDefault(id, 0) > 1) {
+                    violations.add("TWICE: " + id + " was executed more than once");
+                }
+            }
             assertEquals(Collections.emptyList(), List.copyOf(violations), "seed " + seed);
             assertTrue(served.get() > 100, "seed " + seed + ": only " + served + " requests were served");
         }
