Count a notice of the emulated engine only if the router can read it

The log has server_announced_leaving for this very request, so no earlier response of that engine had told the router: the engine had counted a response whose head it had cut off, or that followed one without an id, after which the router closes the connection. Such replies tell the router nothing and are not counted; all others are, as before.

--- a/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
@@ -81,7 +81,7 @@
             Reply reply = reply(head, id);
             response = ScriptedServer.ascii(reply.text);
             close = reply.close;
-            if (leaving && !leavingSent && reply.text.contains("X-Id: " + id + "\r\n")) {
+            if (leaving && !leavingSent && reply.readable) {
                 leavingSent = true;
                 leavingSentNanos = System.nanoTime();
             }
@@ -110,18 +110,18 @@
 
     private Reply reply(String head, String id) {
         if (random.nextDouble() >= faultRate) {
-            return new Reply(success(head, id), false);
+            return new Reply(success(head, id), false, true);
         }
         return switch (random.nextInt(9)) {
-            case 0 -> new Reply(refusal(id, "Retry-After: " + pause(id) + "\r\n"), false);
-            case 1 -> new Reply(refusal(id, ""), false);
-            case 2 -> new Reply(refusal(id, "Retry-After: soon\r\n"), false);
-            case 3 -> new Reply(earlierRefusal() + success(head, id), false);
-            case 4 -> new Reply(success(head, id).repeat(2), false);
-            case 5 -> new Reply(part(success(head, id)), true);
-            case 6 -> new Reply(executed(id, response(id, "500 X", "X-Seal: seal\r\n", "oops")), false);
-            case 7 -> new Reply(executed(id, response(id, "200 X", "", "forged")), false);
-            default -> new Reply(executed(id, "HTTP/1.1 200 X\r\nX-Id: " + id + "\r\nX-Se"), true);
+            case 0 -> new Reply(refusal(id, "Retry-After: " + pause(id) + "\r\n"), false, true);
+            case 1 -> new Reply(refusal(id, ""), false, true);
+            case 2 -> new Reply(refusal(id, "Retry-After: soon\r\n"), false, true);
+            case 3 -> new Reply(earlierRefusal() + success(head, id), false, false);
+            case 4 -> new Reply(success(head, id).repeat(2), false, true);
+            case 5 -> new Reply(part(success(head, id)), true, false);
+            case 6 -> new Reply(executed(id, response(id, "500 X", "X-Seal: seal\r\n", "oops")), false, true);
+            case 7 -> new Reply(executed(id, response(id, "200 X", "", "forged")), false, true);
+            default -> new Reply(executed(id, "HTTP/1.1 200 X\r\nX-Id: " + id + "\r\nX-Se"), true, false);
         };
     }
 
@@ -197,5 +197,12 @@
         return matcher.find() ? matcher.group(1) : "none";
     }
 
-    private record Reply(String text, boolean close) {}
+    /**
+     * Reply to a request.
+     *
+     * @param text bytes to write
+     * @param close whether the connection is closed afterwards
+     * @param readable whether the router is certain to read the head of the response to this request
+     */
+    private record Reply(String text, boolean close, boolean readable) {}
 }
