--- a/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
@@ -1,21 +1,44 @@
 package org.coltsfootquay.router.channel;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import jdk.net.ExtendedSocketOptions;
 
 /** Utility methods for Netty channels and socket addresses. */
 public final class ChannelUtils {
 
+    /** Idle time before the first keep-alive probe and time between probes, seconds; the shortest possible. */
+    private static final int PROBE_SECONDS = 1;
+
     private ChannelUtils() {}
 
+    /**
+     * Makes the connections of a bootstrap send TCP keep-alive probes while they are idle, so that a connection that
+     * went silent without a reset is closed.
+     *
+     * @param bootstrap bootstrap of NIO sockets
+     * @param unansweredProbes number of unanswered probes after which a connection is closed, one second apart
+     * @return the bootstrap
+     */
+    public static Bootstrap probeIdle(Bootstrap bootstrap, int unansweredProbes) {
+        return bootstrap
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), unansweredProbes);
+    }
+
     /**
      * Writes a message and flushes; a failed write closes the channel.
      *
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -16,10 +15,10 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import jdk.net.ExtendedSocketOptions;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.router.channel.ChannelUtils;
 
 /** Pool of persistent connections to backend servers; runs on one event loop. */
 public final class ServerConnectionPool {
@@ -31,9 +30,6 @@
     private static final int MAX_HEADER_BYTES = 65536;
     private static final int MAX_CHUNK_BYTES = 65536;
 
-    /** Idle time and interval of TCP keep-alive probes, which detect dead connections, seconds. */
-    private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
-
     /** Number of unanswered keep-alive probes after which a connection is closed. */
     private static final int KEEP_ALIVE_PROBE_COUNT = 3;
 
@@ -140,15 +136,11 @@
     private void connect(BackendEntry server, Consumer<ServerConnection> onConnected, Consumer<String> onFailure) {
         ServerConnection connection = new ServerConnection(server, this, dialect);
         openedCount++;
-        new Bootstrap()
+        ChannelUtils.probeIdle(new Bootstrap(), KEEP_ALIVE_PROBE_COUNT)
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
