--- a/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
@@ -24,7 +24,6 @@
     private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
-    private final List<ScriptedServer> servers = new ArrayList<>();
     private ForwardingFixture fixture;
 
     @BeforeEach
@@ -34,9 +33,6 @@
 
     @AfterEach
     void stop() throws IOException {
-        for (ScriptedServer server : servers) {
-            server.close();
-        }
         fixture.close();
     }
 
@@ -49,8 +45,8 @@
             executed.incrementAndGet();
             output.write(signed(head, "booked"));
         };
-        serve(script);
-        serve(script);
+        fixture.serve(script);
+        fixture.serve(script);
         String response = fixture.call("POST", "/once/a", "id-1");
         assertTrue(response.startsWith("HTTP/1.1 502"), response);
         assertEquals(1, executed.get());
@@ -59,7 +55,7 @@
     @Test
     void earlierRefusalOnAKeptConnectionIsDiscarded() throws Exception {
         List<String> heads = new ArrayList<>();
-        serve((head, output, socket) -> {
+        fixture.serve((head, output, socket) -> {
             heads.add(head);
             if (heads.size() == 1) {
                 output.write(ScriptedServer.ascii(NOT_RUN + "X-Id: " + id(head) + "\r\n\r\n"));
@@ -76,7 +72,7 @@
     @Test
     void earlierRefusalBesideAnIdleConnectionIsNotUsed() throws Exception {
         List<String> heads = new ArrayList<>();
-        serve((head, output, socket) -> {
+        fixture.serve((head, output, socket) -> {
             heads.add(head);
             if (heads.size() == 1) {
                 String refusal = NOT_RUN + "X-Id: " + id(head) + "\r\n\r\n";
@@ -135,7 +131,7 @@
     /** A stream that ends with its connection within an event looked complete. */
     @Test
     void streamWithoutLengthThatEndsWithinAnEventIsBroken() throws Exception {
-        serve((head, output, socket) -> {
+        fixture.serve((head, output, socket) -> {
             output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head)
                     + "\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n" + TWO_EVENTS + "id: 3\nda"));
             socket.close();
@@ -148,7 +144,7 @@
     void headThatEndsAnywhereIsNoResponse() throws Exception {
         String head = "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
         AtomicInteger length = new AtomicInteger();
-        serve((request, output, socket) -> {
+        fixture.serve((request, output, socket) -> {
             output.write(ScriptedServer.ascii(head.replace("$id", id(request)).substring(0, length.get())));
             socket.close();
         });
@@ -180,13 +176,12 @@
             output.flush();
             socket.close();
         };
-        serve(script);
-        serve(script);
+        fixture.serve(script);
+        fixture.serve(script);
     }
 
     private void restart() throws Exception {
         stop();
-        servers.clear();
         start();
     }
 
@@ -197,12 +192,6 @@
         assertEquals(TWO_EVENTS, body.replace("\r\n", "").replace("[reset]", ""), response);
     }
 
-    private void serve(ScriptedServer.Script script) throws Exception {
-        ScriptedServer server = new ScriptedServer(script);
-        servers.add(server);
-        fixture.registerServer(server.address());
-    }
-
     private static String streamHead() {
         return "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Seal: seal\r\n" + EVENT_STREAM;
     }
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.coltsfootquay.decision.backend.BackendEntry;
@@ -24,6 +25,7 @@
 import org.coltsfootquay.decision.route.RoutingConfiguration;
 import org.coltsfootquay.decision.route.ServicePolicy;
 import org.coltsfootquay.decision.route.WeightedService;
+import org.coltsfootquay.router.backend.ScriptedServer;
 import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.metrics.RouterMetrics;
 import org.coltsfootquay.router.node.EventLoopTimers;
@@ -40,6 +42,7 @@
     private final EventLoopGroup group = ChannelUtils.eventLoops("forwarding-test", 1);
     private final EventLoop loop = group.next();
     private final InetSocketAddress address;
+    private final List<ScriptedServer> servers = new ArrayList<>();
     private int serverCount;
 
     ForwardingFixture() throws Exception {
@@ -95,6 +98,14 @@
         return name;
     }
 
+    /** Starts a server that runs a script, and registers it; it stops with the router. */
+    ScriptedServer serve(ScriptedServer.Script script) throws Exception {
+        ScriptedServer server = new ScriptedServer(script);
+        servers.add(server);
+        registerServer(server.address());
+        return server;
+    }
+
     /** Registers a new incarnation of a server. */
     void restartServer(String name, String hostAndPort) throws Exception {
         putServer(name, ChannelUtils.parseAddress(hostAndPort), 2);
@@ -156,7 +167,10 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
+        for (ScriptedServer server : servers) {
+            server.close();
+        }
         ChannelUtils.shutDown(group).join();
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
@@ -26,7 +26,6 @@
     private static final String LEAVING = "X-Leaving: 1\r\n";
     private static final String NOT_RUN = "X-Not-Run: 1\r\n";
 
-    private final List<ScriptedServer> servers = new ArrayList<>();
     private ForwardingFixture fixture;
 
     @BeforeEach
@@ -36,15 +35,13 @@
 
     @AfterEach
     void stop() throws IOException {
-        for (ScriptedServer server : servers) {
-            server.close();
-        }
         fixture.close();
     }
 
     @Test
     void serverThatLeavesGetsNoRequestOnAKeptConnection() throws Exception {
-        ScriptedServer server = serve((head, output, socket) -> output.write(response(head, 200, LEAVING, "last")));
+        ScriptedServer server =
+                fixture.serve((head, output, socket) -> output.write(response(head, 200, LEAVING, "last")));
         assertTrue(fixture.call("POST", "/once/a", "id-1").endsWith("last"));
         String response = fixture.call("POST", "/once/a", "id-2");
         assertTrue(response.startsWith("HTTP/1.1 503"), response);
@@ -54,7 +51,7 @@
     @Test
     void errorOrRefusalSaysThatAServerLeavesToo() throws Exception {
         for (String status : List.of("500", "503", "421")) {
-            ScriptedServer server = serve((head, output, socket) ->
+            ScriptedServer server = fixture.serve((head, output, socket) ->
                     output.write(response(head, Integer.parseInt(status), LEAVING + NOT_RUN, "")));
             fixture.call("POST", "/once/a", "id-1");
             fixture.call("POST", "/once/a", "id-2");
@@ -66,7 +63,7 @@
 
     @Test
     void streamWhoseServerLeavesContinuesToItsEnd() throws Exception {
-        ScriptedServer server = serve((head, output, socket) -> {
+        ScriptedServer server = fixture.serve((head, output, socket) -> {
             output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\n" + LEAVING
                     + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
             for (int i = 1; i <= 3; i++) {
@@ -86,7 +83,7 @@
     /** A faulty server could take itself or another one out of service with the response to another request. */
     @Test
     void responseToAnotherRequestIsNoNotice() throws Exception {
-        ScriptedServer server = serve((head, output, socket) -> {
+        ScriptedServer server = fixture.serve((head, output, socket) -> {
             output.write(response("X-Id: other\r\n", 200, LEAVING, "stray"));
             output.write(response("X-Id: other\r\n", 503, NOT_RUN + "Retry-After: 9\r\n", ""));
             output.write(response(head, 200, "", "mine"));
@@ -99,14 +96,14 @@
     @Test
     void resumptionAvoidsAServerThatLeaves() throws Exception {
         AtomicInteger resumed = new AtomicInteger();
-        ScriptedServer leaving = serve((head, output, socket) -> {
+        ScriptedServer leaving = fixture.serve((head, output, socket) -> {
             resumed.addAndGet(head.contains("X-Resume") ? 1 : 0);
             output.write(response(head, 200, LEAVING, "last"));
         });
         while (leaving.requestHeads.isEmpty()) {
             fixture.call("POST", "/once/a", "id-1");
         }
-        serve((head, output, socket) -> {
+        fixture.serve((head, output, socket) -> {
             output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\n"
                     + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                     + "f\r\nid: 1\ndata: a\n\n\r\n"));
@@ -120,7 +117,8 @@
 
     @Test
     void restartedServerGetsRequestsAgain() throws Exception {
-        ScriptedServer server = serve((head, output, socket) -> output.write(response(head, 200, LEAVING, "last")));
+        ScriptedServer server =
+                fixture.serve((head, output, socket) -> output.write(response(head, 200, LEAVING, "last")));
         fixture.call("POST", "/once/a", "id-1");
         fixture.restartServer("s0", server.address());
         assertTrue(fixture.call("POST", "/once/a", "id-2").endsWith("last"));
@@ -128,7 +126,7 @@
 
     @Test
     void pausedServerGetsNoRequestUntilThePauseEnds() throws Exception {
-        ScriptedServer server = serve(
+        ScriptedServer server = fixture.serve(
                 (head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 0.6\r\n", "")));
         fixture.call("POST", "/once/a", "id-1");
         for (int i = 0; i < 5; i++) {
@@ -143,8 +141,8 @@
     /** Two hundred requests were on their way when the server asked for a pause; the rest must not follow. */
     @Test
     void requestsInFlightDoNotReachAPausedServer() throws Exception {
-        ScriptedServer server =
-                serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
+        ScriptedServer server = fixture.serve(
+                (head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
         ExecutorService callers = Executors.newFixedThreadPool(20);
         try {
             List<Future<String>> responses = new ArrayList<>();
@@ -166,9 +164,9 @@
 
     @Test
     void requestGoesToTheServerThatDoesNotPause() throws Exception {
-        ScriptedServer paused =
-                serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
-        serve((head, output, socket) -> output.write(response(head, 200, "", "served")));
+        ScriptedServer paused = fixture.serve(
+                (head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
+        fixture.serve((head, output, socket) -> output.write(response(head, 200, "", "served")));
         for (int i = 0; i < 20; i++) {
             assertTrue(fixture.call("POST", "/once/a", "id-" + i).endsWith("served"));
         }
@@ -177,8 +175,8 @@
 
     @Test
     void pauseOfAllServersIsPassedOnToCallers() throws Exception {
-        serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 8\r\n", "")));
-        serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
+        fixture.serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 8\r\n", "")));
+        fixture.serve((head, output, socket) -> output.write(response(head, 503, NOT_RUN + "Retry-After: 30\r\n", "")));
         fixture.call("POST", "/once/a", "id-1");
         fixture.call("POST", "/once/a", "id-2");
         String response = fixture.call("POST", "/once/a", "id-3");
@@ -192,7 +190,7 @@
     @Test
     void malformedPauseIsIgnored() throws Exception {
         for (String value : List.of("-1", "soon", "0", "Sat, 05 Dec 2026 09:00:00 GMT")) {
-            ScriptedServer server = serve((head, output, socket) ->
+            ScriptedServer server = fixture.serve((head, output, socket) ->
                     output.write(response(head, 503, NOT_RUN + "Retry-After: " + value + "\r\n", "")));
             fixture.call("POST", "/once/a", "id-1");
             fixture.call("POST", "/once/a", "id-2");
@@ -204,20 +202,13 @@
 
     @Test
     void retryAfterOfAnotherStatusIsNoPause() throws Exception {
-        ScriptedServer server =
-                serve((head, output, socket) -> output.write(response(head, 200, "Retry-After: 30\r\n", "served")));
+        ScriptedServer server = fixture.serve(
+                (head, output, socket) -> output.write(response(head, 200, "Retry-After: 30\r\n", "served")));
         fixture.call("POST", "/once/a", "id-1");
         fixture.call("POST", "/once/a", "id-2");
         assertEquals(2, server.requestHeads.size());
     }
 
-    private ScriptedServer serve(ScriptedServer.Script script) throws Exception {
-        ScriptedServer server = new ScriptedServer(script);
-        servers.add(server);
-        fixture.registerServer(server.address());
-        return server;
-    }
-
     private static byte[] response(String head, int status, String headers, String body) {
         return ScriptedServer.ascii("HTTP/1.1 " + status + " X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\n" + headers
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body);
