Bound the setting maxServerPause and test that a pause is no failure

A pause of 999999999999h passed check-config and overflowed when a server asked for one; settings above an hour are rejected with the remedy now.

--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -68,6 +68,8 @@
     /** Default of the longest pause; a server that needs more time is expected to leave. */
     private static final Duration DEFAULT_MAX_SERVER_PAUSE = Duration.ofMinutes(5);
 
+    private static final Duration LONGEST_MAX_SERVER_PAUSE = Duration.ofHours(1);
+
     private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
 
     /** Factor on the rate that a cold server accepts; 1 makes the stated rate itself the limit. */
@@ -101,7 +103,16 @@
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
                 root.object("bounds", NodeSettings::readFleetLimits).orElseGet(NodeSettings::defaultFleetLimits),
                 root.object("responses", NodeSettings::readResponseLimits).orElse(ResponseLimits.DEFAULT),
-                root.duration("maxServerPause").orElse(DEFAULT_MAX_SERVER_PAUSE));
+                readMaxServerPause(root));
+    }
+
+    private static Duration readMaxServerPause(SettingsObject root) {
+        Duration pause = root.duration("maxServerPause").orElse(DEFAULT_MAX_SERVER_PAUSE);
+        if (pause.compareTo(LONGEST_MAX_SERVER_PAUSE) > 0) {
+            root.problem(
+                    "maxServerPause", pause.toString(), "use at most \"1h\"; a server that pauses longer has left");
+        }
+        return pause;
     }
 
     private static ResponseLimits readResponseLimits(SettingsObject limits) {
--- a/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ServerNoticeTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.router.backend.ScriptedServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -187,6 +188,13 @@
         assertTrue(seconds > 5 && seconds <= 9, response);
     }
 
+    @Test
+    void pauseIsNoFailureOfTheServer() throws Exception {
+        fixture.serve((head, output, socket) -> output.write(response(head, 503, "Retry-After: 9\r\n", "")));
+        fixture.call("POST", "/once/a", "id-1");
+        assertEquals(0, fixture.context.health().failureRate(new ServerName("s0")));
+    }
+
     @Test
     void malformedPauseIsIgnored() throws Exception {
         for (String value : List.of("-1", "soon", "0", "Sat, 05 Dec 2026 09:00:00 GMT")) {
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
@@ -0,0 +1,42 @@
+package org.coltsfootquay.router.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.coltsfootquay.settings.SettingsException;
+import org.coltsfootquay.settings.SettingsReader;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a pause so long that one mistake of a server takes it out of service for good. */
+final class NodeSettingsTest {
+
+    private static final String SETTINGS = """
+            {"id": "r1", "zone": "a", "host": "127.0.0.1", "callerAddress": "127.0.0.1:1", "readyAddress": "127.0.0.1:2",
+             "directoryAddress": "127.0.0.1:3", "metricsAddress": "127.0.0.1:4", "peerPort": 5,
+             "storeAddress": "127.0.0.1:6", "seeds": []%s}
+            """;
+
+    @Test
+    void pauseIsFiveMinutesByDefault() throws SettingsException {
+        assertEquals(Duration.ofMinutes(5), read("").maxServerPause());
+    }
+
+    @Test
+    void pauseIsRead() throws SettingsException {
+        assertEquals(
+                Duration.ofSeconds(20), read(", \"maxServerPause\": \"20s\"").maxServerPause());
+    }
+
+    @Test
+    void pauseOfMoreThanAnHourIsRejected() {
+        SettingsException error =
+                assertThrows(SettingsException.class, () -> read(", \"maxServerPause\": \"999999999999h\""));
+        assertTrue(error.getMessage().contains("maxServerPause"), error.getMessage());
+    }
+
+    private static NodeSettings read(String more) throws SettingsException {
+        return SettingsReader.read("test", SETTINGS.formatted(more), NodeSettings::read);
+    }
+}
