--- a/decision/src/main/java/org/coltsfootquay/decision/notice/ServerNotices.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/notice/ServerNotices.java
@@ -70,7 +70,7 @@
         }
         Notice notice = noticeFor(server, nowNanos);
         long endNanos = nowNanos + pause.toNanos();
-        if (notice.paused && endNanos <= notice.pauseEndNanos) {
+        if (notice.paused && endNanos - notice.pauseEndNanos <= 0) {
             return false;
         }
         notice.paused = true;
