Pass on a refusal only if the server says that it did not run the request

Cause: the status of an engine was passed on unchanged, also where it is a promise that the engine had not given.

Change: such a response is a failure: repeated where the route allows it, otherwise 502 without the engine's signature (unconfirmed_refusal).

Test: refusalThatDoesNotSayNotRunIsNoPromise failed before (408 was passed on).

--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -56,6 +56,12 @@
     /** Failed attempts to get a connection for a request after which it is rejected. */
     private static final int MAX_ACQUIRE_FAILURES = 4;
 
+    /** Statuses that tell a caller that its request was not executed; passed on only if the server has said so. */
+    private static final Set<HttpResponseStatus> PROMISED_NOT_RUN = Set.of(
+            HttpResponseStatus.REQUEST_TIMEOUT,
+            HttpResponseStatus.TOO_MANY_REQUESTS,
+            HttpResponseStatus.SERVICE_UNAVAILABLE);
+
     /** Weight of a generated token relative to a prompt token, as in the operator's measure of workspace shares. */
     private static final double OUTPUT_WEIGHT = 2;
 
@@ -404,7 +410,8 @@
             handleNotExecuted(server, status);
             return;
         }
-        boolean failed = status.codeClass() == HttpStatusClass.SERVER_ERROR;
+        boolean unconfirmedRefusal = PROMISED_NOT_RUN.contains(status);
+        boolean failed = unconfirmedRefusal || status.codeClass() == HttpStatusClass.SERVER_ERROR;
         if (!failed) {
             context.health().recordResponse(server, true, now());
             context.notices().recordServed(selectedServer.entry(), now());
@@ -418,6 +425,8 @@
             retry("server_error");
         } else if (streaming) {
             abortStream("resume_refused");
+        } else if (unconfirmedRefusal) {
+            sendError(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), "unconfirmed_refusal");
         } else {
             caller.sendResponse(status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray());
             finish("served", status.code());
--- a/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
@@ -52,6 +52,20 @@
         assertEquals(1, executed.get());
     }
 
+    /** Callers take these statuses as a promise, which the server has not given. */
+    @Test
+    void refusalThatDoesNotSayNotRunIsNoPromise() throws Exception {
+        AtomicInteger status = new AtomicInteger();
+        fixture.serve((head, output, socket) -> output.write(ScriptedServer.ascii(
+                "HTTP/1.1 " + status + " X\r\nX-Id: " + id(head) + "\r\nX-Seal: seal\r\nContent-Length: 0\r\n\r\n")));
+        for (int refusal : new int[] {408, 429, 503}) {
+            status.set(refusal);
+            String response = fixture.call("POST", "/once/a", "id-" + refusal);
+            assertTrue(response.startsWith("HTTP/1.1 502"), refusal + ": " + response);
+            assertFalse(response.contains("X-Seal"), response);
+        }
+    }
+
     @Test
     void earlierRefusalOnAKeptConnectionIsDiscarded() throws Exception {
         List<String> heads = new ArrayList<>();
