--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -65,7 +65,7 @@
         if (waitFraction <= MAX_WAIT_SHARE) {
             return dispatched <= fairShare * SHARE_TOLERANCE;
         }
-        // Without a bounded share nobody was refused lately, so nobody is below it.
+        // The share is unbounded while everything that was requested is dispatched; no workspace is below it then.
         double missing = fairShare == Double.MAX_VALUE ? 0 : 1 - dispatched / Math.max(1, fairShare);
         return waitFraction <= MAX_WAIT_SHARE + (MAX_WAIT_SHARE_BELOW_FAIR_SHARE - MAX_WAIT_SHARE) * missing;
     }
