--- a/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
@@ -14,7 +14,8 @@
 
     private static final String SETTINGS = """
             {"id": "r1", "zone": "a", "host": "127.0.0.1", "callerAddress": "127.0.0.1:1",
-             "readyAddress": "127.0.0.1:2", "directoryAddress": "127.0.0.1:3", "metricsAddress": "127.0.0.1:4", "peerPort": 5,
+             "readyAddress": "127.0.0.1:2", "directoryAddress": "127.0.0.1:3",
+             "metricsAddress": "127.0.0.1:4", "peerPort": 5,
              "storeAddress": "127.0.0.1:6", "seeds": []%s}
             """;
 
