Count an execution before the response is written in a test

FaultyServerTest.refusalWithoutARequestIdIsNoPromise failed once (expected 1, was 0): the router answers the caller as soon as the response arrives, and the emulated server counted the execution only after it had written it. The check is the same.

--- a/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/FaultyServerTest.java
@@ -41,8 +41,8 @@
     void refusalWithoutARequestIdIsNoPromise() throws Exception {
         AtomicInteger executed = new AtomicInteger();
         ScriptedServer.Script script = (head, output, socket) -> {
-            output.write(ScriptedServer.ascii(NOT_RUN + "\r\n"));
             executed.incrementAndGet();
+            output.write(ScriptedServer.ascii(NOT_RUN + "\r\n"));
             output.write(signed(head, "booked"));
         };
         fixture.serve(script);
