--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -0,0 +1,193 @@
+package org.coltsfootquay.decision.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ServerName;
+
+/**
+ * Crashes of servers, the prompt parts involved in them, and the parts that servers have answered; not thread-safe.
+ *
+ * <p>A part that some server has answered since a crash did not cause it. Of the other parts, the one that was involved
+ * in the most crashes explains them, and only the crashes that it leaves unexplained count against the next one. An
+ * incarnation of a server crashes once, so that connections to it that break at other times add no further crash.
+ */
+final class CrashEvidence {
+
+    /** Crashes without an answer in between that prove a part which no server has answered before. */
+    static final int REQUIRED_CRASHES = 3;
+
+    /**
+     * Crashes that prove a part which was answered before: it can only have become harmful by a change of the servers,
+     * while a popular part is involved in many crashes when a zone fails.
+     */
+    static final int REQUIRED_CRASHES_AFTER_ANSWER = 5;
+
+    /** Time since its last answer before such a part can be proved; requests in progress elsewhere are answered. */
+    static final Duration SETTLING_TIME_AFTER_ANSWER = Duration.ofSeconds(2);
+
+    /** Time for which a crash counts; several times the longest quarantine, so that trials renew the evidence. */
+    static final Duration RETENTION_TIME = Duration.ofHours(1);
+
+    private static final int MAX_CRASHES = 256;
+    private static final int MAX_PARTS_PER_CRASH = 64;
+    private static final int MAX_ANSWERED_PARTS = 8192;
+
+    /** Time of the crash by involved part, least recently reported crash first. */
+    private final Map<Incarnation, Map<PartKey, Long>> crashes = new LinkedHashMap<>();
+
+    /** Time of the last answer by part, least recently answered part first. */
+    private final Map<PartKey, Long> answers = new LinkedHashMap<>();
+
+    /**
+     * Records a crash.
+     *
+     * @param report crash
+     * @param crashNanos time of the crash
+     * @return false if the crash and all its parts were known
+     */
+    boolean addCrash(CrashReport report, long crashNanos) {
+        Incarnation incarnation = new Incarnation(report.server(), report.startedMillis());
+        Map<PartKey, Long> parts = crashes.computeIfAbsent(incarnation, key -> new HashMap<>());
+        boolean changed = false;
+        for (PartKey part : report.parts()) {
+            if (parts.size() >= MAX_PARTS_PER_CRASH && !parts.containsKey(part)) {
+                break;
+            }
+            Long known = parts.get(part);
+            if (known == null) {
+                parts.put(part, crashNanos);
+                changed = true;
+            } else if (crashNanos - known > 0) {
+                parts.put(part, crashNanos);
+            }
+        }
+        if (crashes.size() > MAX_CRASHES) {
+            crashes.remove(crashes.keySet().iterator().next());
+        }
+        return changed;
+    }
+
+    /**
+     * Records that a server has answered a request.
+     *
+     * @param part part of its prompt
+     * @param answerNanos time of the answer
+     */
+    void addAnswer(PartKey part, long answerNanos) {
+        Long known = answers.remove(part);
+        answers.put(part, known != null && known - answerNanos > 0 ? known : answerNanos);
+        if (answers.size() > MAX_ANSWERED_PARTS) {
+            answers.remove(answers.keySet().iterator().next());
+        }
+    }
+
+    /** Returns the time of the last answer to a part. */
+    Optional<Long> answerNanos(PartKey part) {
+        return Optional.ofNullable(answers.get(part));
+    }
+
+    /** Returns the parts that were involved in a crash and have not been answered since. */
+    Set<PartKey> suspects() {
+        Set<PartKey> suspects = new HashSet<>();
+        crashes.values()
+                .forEach(parts -> parts.forEach((part, crashNanos) -> {
+                    if (!answeredSince(part, crashNanos)) {
+                        suspects.add(part);
+                    }
+                }));
+        return suspects;
+    }
+
+    /** Returns the parts to which crashes are attributed, those with the most crashes first. */
+    List<Culprit> culprits(long nowNanos) {
+        removeOld(nowNanos);
+        Set<Incarnation> unexplained = new LinkedHashSet<>(crashes.keySet());
+        List<Culprit> culprits = new ArrayList<>();
+        Optional<Culprit> next = strongest(unexplained, nowNanos);
+        while (next.isPresent()) {
+            culprits.add(next.get());
+            next = strongest(unexplained, nowNanos);
+        }
+        return culprits;
+    }
+
+    /** Returns the parts involved in the most crashes and removes these crashes, or empty if no part is proved. */
+    private Optional<Culprit> strongest(Set<Incarnation> unexplained, long nowNanos) {
+        Map<PartKey, Set<Incarnation>> involved = new HashMap<>();
+        for (Incarnation incarnation : unexplained) {
+            crashes.get(incarnation).forEach((part, crashNanos) -> {
+                if (!answeredSince(part, crashNanos)) {
+                    involved.computeIfAbsent(part, key -> new LinkedHashSet<>()).add(incarnation);
+                }
+            });
+        }
+        involved.entrySet()
+                .removeIf(entry -> !isProved(entry.getKey(), entry.getValue().size(), nowNanos));
+        Optional<PartKey> strongest = involved.keySet().stream()
+                .max(Comparator.<PartKey>comparingInt(part -> involved.get(part).size())
+                        .thenComparingLong(PartKey::hash));
+        return strongest.map(part -> {
+            Set<Incarnation> explained = involved.get(part);
+            Set<PartKey> indistinguishable = new HashSet<>(involved.keySet());
+            indistinguishable.removeIf(other -> !involved.get(other).equals(explained));
+            unexplained.removeAll(explained);
+            return culprit(indistinguishable, part, explained);
+        });
+    }
+
+    private Culprit culprit(Set<PartKey> parts, PartKey part, Collection<Incarnation> explained) {
+        List<String> servers =
+                explained.stream().map(crash -> crash.server().value()).toList();
+        long last = explained.stream()
+                .map(crash -> crashes.get(crash).get(part))
+                .max((a, b) -> Long.signum(a - b))
+                .orElseThrow();
+        return new Culprit(parts, servers, last);
+    }
+
+    private boolean isProved(PartKey part, int count, long nowNanos) {
+        Long answered = answers.get(part);
+        if (answered == null) {
+            return count >= REQUIRED_CRASHES;
+        }
+        return count >= REQUIRED_CRASHES_AFTER_ANSWER && nowNanos - answered >= SETTLING_TIME_AFTER_ANSWER.toNanos();
+    }
+
+    private boolean answeredSince(PartKey part, long crashNanos) {
+        Long answered = answers.get(part);
+        return answered != null && answered - crashNanos >= 0;
+    }
+
+    private void removeOld(long nowNanos) {
+        crashes.values().forEach(parts -> parts.values().removeIf(time -> nowNanos - time > RETENTION_TIME.toNanos()));
+        crashes.values().removeIf(Map::isEmpty);
+    }
+
+    /** Returns the most recent crashes that are attributed to a culprit, restricted to its parts. */
+    Map<CrashReport, Long> crashesOf(Culprit culprit, int limit) {
+        List<Map.Entry<CrashReport, Long>> found = new ArrayList<>();
+        crashes.forEach((incarnation, parts) -> {
+            if (parts.keySet().containsAll(culprit.parts())) {
+                long time = parts.get(culprit.parts().iterator().next());
+                found.add(Map.entry(
+                        new CrashReport(incarnation.server(), incarnation.startedMillis(), culprit.parts()), time));
+            }
+        });
+        found.sort((a, b) -> Long.signum(b.getValue() - a.getValue()));
+        Map<CrashReport, Long> latest = new LinkedHashMap<>();
+        found.stream().limit(limit).forEach(entry -> latest.put(entry.getKey(), entry.getValue()));
+        return latest;
+    }
+
+    private record Incarnation(ServerName server, long startedMillis) {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartKey.java
@@ -0,0 +1,41 @@
+package org.coltsfootquay.decision.quarantine;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.coltsfootquay.decision.common.HashUtils;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.selection.Prompt;
+import org.coltsfootquay.decision.selection.PromptPart;
+
+/**
+ * Key of a shared prompt part, which tells the parts of different services and models apart.
+ *
+ * @param hash hash of service, model and part
+ */
+public record PartKey(long hash) {
+
+    /**
+     * Returns the keys of the shared parts of a prompt. The last part is left out, because it belongs to one request or
+     * session.
+     *
+     * @param service service of the request
+     * @param model model of the request, empty if it names none
+     * @param prompt prompt
+     * @return keys in the order of the parts
+     */
+    public static Set<PartKey> ofSharedParts(ServiceName service, String model, Prompt prompt) {
+        List<PromptPart> parts = prompt.parts();
+        Set<PartKey> keys = new LinkedHashSet<>();
+        for (int i = 0; i + 1 < parts.size(); i++) {
+            keys.add(new PartKey(
+                    HashUtils.hash(service.value(), model, parts.get(i).id())));
+        }
+        return keys;
+    }
+
+    @Override
+    public String toString() {
+        return Long.toHexString(hash);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -0,0 +1,325 @@
+package org.coltsfootquay.decision.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+
+/**
+ * Decides which requests must not be sent because a part of their prompts crashes servers; not thread-safe.
+ *
+ * <p>Routers tell each other the crashes that they see and the parts that are answered, and each one draws its own
+ * conclusions, so that a router can withdraw a conclusion that later evidence contradicts. A quarantine lapses after a
+ * time that doubles with each further crash. Then single requests are let through as trials: an answer ends the
+ * quarantine on all routers, another crash extends it.
+ */
+public final class PartQuarantine {
+
+    /** Time in which the answers of other routers arrive; until then, callers may be told to retry. */
+    public static final Duration SETTLING_TIME = Duration.ofSeconds(1);
+
+    /** Duration of a quarantine after the crash that proves it; a trial costs the capacity of an engine for seconds. */
+    static final Duration INITIAL_DURATION = Duration.ofMinutes(1);
+
+    /** Maximum duration of a quarantine; bounds how long a part is rejected after the servers were corrected. */
+    static final Duration MAX_DURATION = Duration.ofMinutes(15);
+
+    /**
+     * Average time between the trials of different routers: the crash of one is known everywhere before the next. It
+     * exceeds the processing time of a prompt and the period of the beacons.
+     */
+    private static final Duration TRIAL_SPACING = Duration.ofSeconds(3);
+
+    /** Doublings after which the duration of a quarantine exceeds its maximum. */
+    private static final int MAX_DOUBLINGS = 8;
+
+    /** Time in which a trial ends with an answer or a crash; longer than a prompt waits for its first event. */
+    private static final Duration TRIAL_DURATION = Duration.ofSeconds(30);
+
+    /** Maximum time between two evaluations while there are suspects, since conclusions also depend on time. */
+    private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(500);
+
+    /** Messages in which each piece of news is repeated, since datagrams get lost. */
+    private static final int REPETITIONS = 4;
+
+    /** Crashes of each culprit that are repeated for routers that join; enough to prove any part. */
+    private static final int REPEATED_CRASHES = CrashEvidence.REQUIRED_CRASHES_AFTER_ANSWER + 3;
+
+    /** Maximum number of answers that wait to be sent; more than the parts that one crash involves. */
+    private static final int MAX_ANSWERS_TO_SEND = 256;
+
+    private final CrashEvidence evidence = new CrashEvidence();
+    private final QuarantineListener listener;
+    private final IntSupplier routers;
+    private final Random random;
+    private final Map<Set<PartKey>, Entry> entries = new LinkedHashMap<>();
+    private final Map<CrashReport, Outgoing> crashesToSend = new LinkedHashMap<>();
+    private final Map<PartKey, Outgoing> answersToSend = new LinkedHashMap<>();
+    private Set<PartKey> suspects = Set.of();
+    private long evaluatedNanos;
+
+    /**
+     * Creates a quarantine without parts.
+     *
+     * @param listener listener for changes
+     * @param routers number of routers in the fleet
+     * @param random source of the delays of trials
+     */
+    public PartQuarantine(QuarantineListener listener, IntSupplier routers, Random random) {
+        this.routers = ArgumentUtils.requireValue(routers, "routers");
+        this.listener = ArgumentUtils.requireValue(listener, "listener");
+        this.random = ArgumentUtils.requireValue(random, "random");
+    }
+
+    /**
+     * Records a crash that this router has seen.
+     *
+     * @param report crash with the parts of the requests of this router that the server had not begun to answer
+     * @param nowNanos current time
+     */
+    public void recordCrash(CrashReport report, long nowNanos) {
+        if (report.parts().isEmpty() || !evidence.addCrash(report, nowNanos)) {
+            return;
+        }
+        crashesToSend.put(report, new Outgoing(nowNanos));
+        report.parts().forEach(this::sendAnswer);
+        evaluate(nowNanos);
+        listener.newsAdded();
+    }
+
+    /**
+     * Records that a server has answered a request and has not crashed by it.
+     *
+     * @param parts shared parts of its prompt
+     * @param nowNanos current time
+     */
+    public void recordAnswer(Set<PartKey> parts, long nowNanos) {
+        boolean relevant = false;
+        for (PartKey part : parts) {
+            evidence.addAnswer(part, nowNanos);
+            if (suspects.contains(part)) {
+                relevant = true;
+                sendAnswer(part);
+            }
+        }
+        if (relevant) {
+            evaluate(nowNanos);
+            listener.newsAdded();
+        }
+    }
+
+    /**
+     * Returns why a request must not be sent.
+     *
+     * @param parts shared parts of its prompt
+     * @param nowNanos current time
+     * @return reason, or empty if it may be sent
+     */
+    public Optional<Rejection> check(Set<PartKey> parts, long nowNanos) {
+        if (suspects.isEmpty() || parts.isEmpty()) {
+            return Optional.empty();
+        }
+        if (nowNanos - evaluatedNanos >= EVALUATION_INTERVAL.toNanos()) {
+            evaluate(nowNanos);
+        }
+        return entries.values().stream()
+                .filter(entry -> parts.containsAll(entry.culprit.parts()) && !entry.trialAllowed(nowNanos))
+                .findFirst()
+                .map(entry -> new Rejection(
+                        entry.culprit.partNames(),
+                        entry.culprit.crashes(),
+                        nowNanos - entry.sinceNanos >= SETTLING_TIME.toNanos()));
+    }
+
+    /**
+     * Records that a request is sent, which may be a trial.
+     *
+     * @param parts shared parts of its prompt
+     * @param nowNanos current time
+     */
+    public void recordSent(Set<PartKey> parts, long nowNanos) {
+        for (Entry entry : entries.values()) {
+            if (parts.containsAll(entry.culprit.parts())) {
+                entry.trialNanos = nowNanos + TRIAL_DURATION.toNanos();
+            }
+        }
+    }
+
+    /**
+     * Records what another router tells.
+     *
+     * @param news news
+     * @param nowNanos current time
+     */
+    public void receive(QuarantineNews news, long nowNanos) {
+        if (news.isEmpty()) {
+            return;
+        }
+        boolean changed = false;
+        for (Map.Entry<CrashReport, Duration> crash : news.crashes().entrySet()) {
+            if (isPlausible(crash.getValue())) {
+                long crashNanos = nowNanos - crash.getValue().toNanos();
+                if (evidence.addCrash(crash.getKey(), crashNanos)) {
+                    changed = true;
+                    crash.getKey().parts().forEach(this::sendAnswer);
+                }
+            }
+        }
+        for (Map.Entry<PartKey, Duration> answer : news.answers().entrySet()) {
+            if (isPlausible(answer.getValue())) {
+                long answerNanos = nowNanos - answer.getValue().toNanos();
+                if (evidence.answerNanos(answer.getKey())
+                        .filter(own -> own - answerNanos > 0)
+                        .isEmpty()) {
+                    answersToSend.remove(answer.getKey());
+                }
+                evidence.addAnswer(answer.getKey(), answerNanos);
+                changed |= suspects.contains(answer.getKey());
+            }
+        }
+        if (changed) {
+            evaluate(nowNanos);
+        }
+    }
+
+    private static boolean isPlausible(Duration age) {
+        return !age.isNegative() && age.compareTo(CrashEvidence.RETENTION_TIME) <= 0;
+    }
+
+    /**
+     * Returns what the other routers should be told now.
+     *
+     * @param all true to repeat the crashes behind each quarantine, for routers that have not received them
+     * @param nowNanos current time
+     * @return news
+     */
+    public QuarantineNews takeNews(boolean all, long nowNanos) {
+        Map<CrashReport, Duration> crashes = new HashMap<>();
+        if (all) {
+            for (Entry entry : entries.values()) {
+                evidence.crashesOf(entry.culprit, REPEATED_CRASHES)
+                        .forEach((report, time) -> crashes.put(report, age(time, nowNanos)));
+            }
+        }
+        crashesToSend.forEach((report, outgoing) -> crashes.put(report, age(outgoing.eventNanos, nowNanos)));
+        Map<PartKey, Duration> answers = new HashMap<>();
+        answersToSend
+                .keySet()
+                .forEach(part -> evidence.answerNanos(part).ifPresent(time -> answers.put(part, age(time, nowNanos))));
+        countSent(crashesToSend);
+        countSent(answersToSend);
+        return new QuarantineNews(crashes, answers);
+    }
+
+    /**
+     * Returns whether there is news that was not sent often enough.
+     *
+     * @return true if {@link #takeNews} has something new
+     */
+    public boolean hasNews() {
+        return !crashesToSend.isEmpty() || !answersToSend.isEmpty();
+    }
+
+    /**
+     * Returns the number of quarantines.
+     *
+     * @return number
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    private static Duration age(long eventNanos, long nowNanos) {
+        return Duration.ofNanos(Math.max(0, nowNanos - eventNanos));
+    }
+
+    private static void countSent(Map<?, Outgoing> outgoing) {
+        outgoing.values().removeIf(entry -> ++entry.sent >= REPETITIONS);
+    }
+
+    /** Tells the others when a part that a crash involves was last answered. */
+    private void sendAnswer(PartKey part) {
+        evidence.answerNanos(part).ifPresent(time -> {
+            if (answersToSend.size() < MAX_ANSWERS_TO_SEND) {
+                answersToSend.put(part, new Outgoing(time));
+            }
+        });
+    }
+
+    private void evaluate(long nowNanos) {
+        evaluatedNanos = nowNanos;
+        suspects = evidence.suspects();
+        List<Culprit> culprits = suspects.isEmpty() ? List.of() : evidence.culprits(nowNanos);
+        Set<Set<PartKey>> current = new HashSet<>();
+        for (Culprit culprit : culprits) {
+            current.add(culprit.parts());
+            Entry entry = entries.get(culprit.parts());
+            if (entry == null || culprit.crashes() > entry.culprit.crashes()) {
+                long sinceNanos = entry == null ? nowNanos : entry.sinceNanos;
+                entries.put(culprit.parts(), new Entry(culprit, sinceNanos, firstTrialNanos(culprit)));
+                listener.quarantined(culprit.partNames(), culprit.servers());
+            }
+        }
+        Iterator<Map.Entry<Set<PartKey>, Entry>> iterator = entries.entrySet().iterator();
+        List<String> released = new ArrayList<>();
+        while (iterator.hasNext()) {
+            Map.Entry<Set<PartKey>, Entry> entry = iterator.next();
+            if (!current.contains(entry.getKey())) {
+                iterator.remove();
+                released.add(entry.getValue().culprit.partNames());
+            }
+        }
+        released.forEach(listener::released);
+    }
+
+    /**
+     * Returns the time of the first trial of this router. It contains a random delay, so that not all routers let a
+     * request through at once.
+     */
+    private long firstTrialNanos(Culprit culprit) {
+        int doublings = Math.min(MAX_DOUBLINGS, Math.max(0, culprit.crashes() - CrashEvidence.REQUIRED_CRASHES));
+        long duration = Math.min(MAX_DURATION.toNanos(), INITIAL_DURATION.toNanos() << doublings);
+        long delay = (long) (random.nextDouble() * routers.getAsInt() * TRIAL_SPACING.toNanos());
+        return culprit.lastCrashNanos() + duration + delay;
+    }
+
+    /** News that is sent several times. */
+    private static final class Outgoing {
+
+        private final long eventNanos;
+        private int sent;
+
+        private Outgoing(long eventNanos) {
+            this.eventNanos = eventNanos;
+        }
+    }
+
+    /** Quarantine of the parts of a culprit. */
+    private static final class Entry {
+
+        private final Culprit culprit;
+        private final long sinceNanos;
+
+        /** Time from which a request may be let through as a trial. */
+        private long trialNanos;
+
+        private Entry(Culprit culprit, long sinceNanos, long trialNanos) {
+            this.culprit = culprit;
+            this.sinceNanos = sinceNanos;
+            this.trialNanos = trialNanos;
+        }
+
+        private boolean trialAllowed(long nowNanos) {
+            return nowNanos - trialNanos >= 0;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
@@ -0,0 +1,99 @@
+package org.coltsfootquay.router.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.quarantine.CrashReport;
+import org.coltsfootquay.decision.quarantine.PartKey;
+import org.coltsfootquay.decision.quarantine.PartQuarantine;
+import org.coltsfootquay.decision.selection.ServerHealth;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+
+/**
+ * Tells the crash of a server from single broken connections, and reports which prompts the server may have been
+ * processing; runs on the event loop.
+ *
+ * <p>A server has crashed if no connection of this router to it is left once all closures are processed.
+ */
+final class CrashDetector {
+
+    private static final EventLog LOG = EventLog.of(CrashDetector.class);
+
+    /** Time after a broken connection in which the closures of the others arrive if their server has crashed. */
+    private static final Duration CHECK_DELAY = Duration.ofMillis(10);
+
+    private final ServerConnectionPool connectionPool;
+    private final ServerHealth health;
+    private final PartQuarantine quarantine;
+    private final TimerService timers;
+    private final RouterMetrics metrics;
+    private final Map<ServerName, List<BrokenConnection>> unchecked = new HashMap<>();
+
+    CrashDetector(
+            ServerConnectionPool connectionPool,
+            ServerHealth health,
+            PartQuarantine quarantine,
+            TimerService timers,
+            RouterMetrics metrics) {
+        this.connectionPool = connectionPool;
+        this.health = health;
+        this.quarantine = quarantine;
+        this.timers = timers;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Records that a server closed or reset a connection during a request.
+     *
+     * @param server server
+     * @param parts shared prompt parts of the request if the server had not begun to answer it
+     * @param afterCheck runs when it is known whether the server has crashed
+     */
+    void connectionBroken(BackendEntry server, Set<PartKey> parts, Runnable afterCheck) {
+        BrokenConnection broken = new BrokenConnection(server, parts, timers.nowNanos(), afterCheck);
+        unchecked.computeIfAbsent(server.server(), name -> new ArrayList<>()).add(broken);
+        var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> check(broken));
+    }
+
+    private void check(BrokenConnection broken) {
+        ServerName server = broken.server.server();
+        List<BrokenConnection> others = unchecked.getOrDefault(server, List.of());
+        if (!others.contains(broken)) {
+            return;
+        }
+        if (connectionPool.openCount(server) > 0) {
+            others.remove(broken);
+            broken.afterCheck.run();
+            return;
+        }
+        unchecked.remove(server);
+        Set<PartKey> parts = new HashSet<>();
+        for (BrokenConnection other : others) {
+            health.recordBrokenConnection(server, other.brokenNanos);
+            parts.addAll(other.parts);
+        }
+        metrics.count("coltsfootquay_server_crashes_total");
+        LOG.warn(
+                "server_crashed",
+                "server",
+                server,
+                "startedMillis",
+                broken.server.startedMillis(),
+                "requests",
+                others.size(),
+                "parts",
+                parts);
+        quarantine.recordCrash(new CrashReport(server, broken.server.startedMillis(), parts), broken.brokenNanos);
+        others.forEach(other -> other.afterCheck.run());
+    }
+
+    private record BrokenConnection(BackendEntry server, Set<PartKey> parts, long brokenNanos, Runnable afterCheck) {}
+}
--- a/router/src/main/java/org/coltsfootquay/router/forward/ErrorResponseBody.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ErrorResponseBody.java
@@ -7,6 +7,13 @@
 
     private ErrorResponseBody() {}
 
+    /** Returns a JSON body with an error code, whether the request may have been executed, and advice to the caller. */
+    static byte[] of(String code, boolean notExecuted, String message) {
+        String json = "{\"error\":{\"code\":\"" + code + "\",\"execution\":\"" + (notExecuted ? "not_run" : "unknown")
+                + "\",\"message\":\"" + message + "\"}}\n";
+        return json.getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Returns a JSON body with an error code and whether the request may have been executed. */
     static byte[] of(String code, boolean notExecuted) {
         String json = "{\"error\":{\"code\":\"" + code + "\",\"execution\":\"" + (notExecuted ? "not_run" : "unknown")
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -26,6 +26,7 @@
 import org.coltsfootquay.decision.notice.PauseParser;
 import org.coltsfootquay.decision.notice.ServerNotices;
 import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.quarantine.PartQuarantine;
 import org.coltsfootquay.decision.retry.FleetRetryShare;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
 import org.coltsfootquay.decision.route.ServicePolicy;
@@ -78,7 +79,10 @@
     private final Map<ServiceName, ServerSelector> selectorsByService = new HashMap<>();
     private final List<Runnable> startupTasks = new ArrayList<>();
     private final Set<Reservation> awaitingFirstEvent = new LinkedHashSet<>();
+    private final PartQuarantine quarantine;
+    private final CrashDetector crashDetector;
     private Runnable promptSentListener = () -> {};
+    private Runnable quarantineNewsListener = () -> {};
     private RoutingConfiguration configuration;
     private boolean registrationsLoaded;
 
@@ -122,6 +126,12 @@
         this.noticeRecorder =
                 new NoticeRecorder(notices, new PauseParser(maxServerPause), connectionPool, metrics, timers);
         this.retryShare = new FleetRetryShare(limits.retryRatio(), limits.retryAllowance(), limits.retryWindow());
+        this.quarantine = new PartQuarantine(
+                new QuarantineLog(metrics, () -> quarantineNewsListener.run()),
+                () -> peers.members().size(),
+                ThreadLocalRandom.current());
+        metrics.gauge("coltsfootquay_quarantined_parts", quarantine::size);
+        this.crashDetector = new CrashDetector(connectionPool, health, quarantine, timers, metrics);
         this.eligibleServerSelector = new EligibleServerSelector(
                 registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
     }
@@ -368,6 +378,28 @@
         }
     }
 
+    /**
+     * Sets a listener that is called whenever other routers should be told of crashes without delay.
+     *
+     * @param listener listener
+     */
+    public void setQuarantineNewsListener(Runnable listener) {
+        quarantineNewsListener = ArgumentUtils.requireValue(listener, "listener");
+    }
+
+    /**
+     * Returns the quarantine of prompt parts that crash servers.
+     *
+     * @return quarantine
+     */
+    public PartQuarantine quarantine() {
+        return quarantine;
+    }
+
+    CrashDetector crashDetector() {
+        return crashDetector;
+    }
+
     AdmissionPolicy admission() {
         return admission;
     }
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -0,0 +1,69 @@
+package org.coltsfootquay.router.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.quarantine.PartKey;
+import org.coltsfootquay.decision.quarantine.PartQuarantine;
+import org.coltsfootquay.decision.quarantine.Rejection;
+import org.coltsfootquay.decision.timer.TimerService;
+
+/** Relation of one request to the quarantine of prompt parts, over all servers that it is sent to. */
+final class PromptPartTracker {
+
+    /** Time after its first event for which a server must continue to be known not to crash by a prompt. */
+    private static final Duration CONFIRMATION_TIME = Duration.ofMillis(250);
+
+    private final PartQuarantine quarantine;
+    private final TimerService timers;
+    private final Set<PartKey> parts;
+    private boolean answering;
+    private boolean answered;
+    private long firstEventNanos;
+
+    PromptPartTracker(PartQuarantine quarantine, TimerService timers, Set<PartKey> parts) {
+        this.quarantine = quarantine;
+        this.timers = timers;
+        this.parts = parts;
+    }
+
+    /** Returns why the request must not be sent, or empty if it may be. */
+    Optional<Rejection> rejection() {
+        return quarantine.check(parts, timers.nowNanos());
+    }
+
+    /** Records that the request is sent to a server. */
+    void sent() {
+        answering = false;
+        answered = false;
+        quarantine.recordSent(parts, timers.nowNanos());
+    }
+
+    /** Records that an event of the response was received. */
+    void eventReceived() {
+        long now = timers.nowNanos();
+        if (!answering) {
+            answering = true;
+            firstEventNanos = now;
+        } else if (now - firstEventNanos >= CONFIRMATION_TIME.toNanos()) {
+            confirm();
+        }
+    }
+
+    /** Records that a successful response is complete. */
+    void responseCompleted() {
+        confirm();
+    }
+
+    /** Returns the parts by which the server may have crashed, if it has. */
+    Set<PartKey> unansweredParts() {
+        return answered ? Set.of() : parts;
+    }
+
+    private void confirm() {
+        if (!answered) {
+            answered = true;
+            quarantine.recordAnswer(parts, timers.nowNanos());
+        }
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.selection.SelectedServer;
 import org.coltsfootquay.router.log.EventLog;
@@ -42,6 +43,19 @@
                 workspace);
     }
 
+    void quarantined(Rejection rejection) {
+        LOG.info(
+                "request_quarantined",
+                "request",
+                requestId,
+                "parts",
+                rejection.parts(),
+                "crashes",
+                rejection.crashes(),
+                "settled",
+                rejection.settled());
+    }
+
     void unreachable(ServerName server, String reason) {
         LOG.warn("server_unreachable", "request", requestId, "server", server, "reason", reason);
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestMetadata.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestMetadata.java
@@ -11,7 +11,13 @@
  * @param host host without port, in lower case
  * @param key API key of the workspace
  * @param deadline time for which the caller waits for the response
+ * @param model model that the request names, empty if none
  * @param prompt prompt, {@link Prompt#NONE} if the headers do not describe one
  */
 public record RequestMetadata(
-        String requestId, String host, Optional<String> key, Optional<Duration> deadline, Prompt prompt) {}
+        String requestId,
+        String host,
+        Optional<String> key,
+        Optional<Duration> deadline,
+        String model,
+        Prompt prompt) {}
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -17,6 +17,8 @@
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.latency.FirstEventObservation;
+import org.coltsfootquay.decision.quarantine.PartKey;
+import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.route.RouteKind;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
@@ -47,9 +49,6 @@
     /** Fraction of the remaining time that the expected latency may take; above it, a request is rejected. */
     private static final double MAX_EXPECTED_TIME_SHARE = 0.8;
 
-    /** Time after a broken connection in which the closures of the others arrive if their server has crashed. */
-    private static final Duration CRASH_CHECK_DELAY = Duration.ofMillis(10);
-
     /** Factor on the expected latency after which a first event is overdue; above the usual error of the estimate. */
     private static final double OVERDUE_FACTOR = 1.4;
 
@@ -65,6 +64,9 @@
     /** Weight of a generated token relative to a prompt token, as in the operator's measure of workspace shares. */
     private static final double OUTPUT_WEIGHT = 2;
 
+    /** Outcome of a request that is rejected because a part of its prompt crashes servers. */
+    private static final String QUARANTINED = "quarantined_part";
+
     /** Workspace of requests on routes without authentication. */
     private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
 
@@ -82,6 +84,7 @@
     private final long deadlineNanos;
     private final RelayLog log;
     private final Reservation reservation;
+    private final PromptPartTracker promptParts;
     private final Set<ServerName> triedServers = new HashSet<>();
     private ScheduledTask deadlineTimer;
     private ScheduledTask responseTimer;
@@ -125,6 +128,10 @@
         this.arrivalNanos = arrivalNanos;
         this.log = new RelayLog(requestMetadata.requestId(), route, workspace);
         this.reservation = new Reservation(context.loads());
+        this.promptParts = new PromptPartTracker(
+                context.quarantine(),
+                context.timers(),
+                PartKey.ofSharedParts(service.name(), requestMetadata.model(), requestMetadata.prompt()));
         Duration limit = requestMetadata
                 .deadline()
                 .filter(deadline -> deadline.compareTo(route.timeout()) < 0)
@@ -157,7 +164,7 @@
     }
 
     private void trySend() {
-        if (done) {
+        if (done || rejectIfQuarantined()) {
             return;
         }
         Optional<SelectedServer> choice = context.eligibleServerSelector()
@@ -181,6 +188,31 @@
         context.connectionPool().acquire(target, this::send, reason -> connectFailed(target, reason));
     }
 
+    /** Ends the request if a part of its prompt is quarantined; returns whether it is. */
+    private boolean rejectIfQuarantined() {
+        Optional<Rejection> rejection = promptParts.rejection();
+        if (rejection.isEmpty()) {
+            return false;
+        }
+        log.quarantined(rejection.get());
+        if (streaming) {
+            abortStream(QUARANTINED);
+        } else if (rejection.get().settled()) {
+            caller.sendResponse(
+                    HttpResponseStatus.BAD_REQUEST,
+                    new DefaultHttpHeaders(),
+                    ErrorResponseBody.of(
+                            QUARANTINED,
+                            !mayHaveExecuted(),
+                            "a part of the prompt crashes servers;"
+                                    + " do not repeat this request, change its prompt"));
+            finish(QUARANTINED, HttpResponseStatus.BAD_REQUEST.code());
+        } else {
+            fail(QUARANTINED, RetryAfter.QUARANTINE_SETTLED);
+        }
+        return true;
+    }
+
     /** Ends the request because no server may get it now. */
     private void failWithoutServer() {
         Optional<Duration> pauseEnd = context.eligibleServerSelector().firstPauseEnd(service.name(), now());
@@ -253,6 +285,10 @@
             connectFailed(target, "closed before use");
             return;
         }
+        if (rejectIfQuarantined()) {
+            context.connectionPool().release(serverConnection);
+            return;
+        }
         long now = now();
         if (!context.eligibleServerSelector()
                 .tryAcquire(target, service, context.peers().members(), now)) {
@@ -271,6 +307,7 @@
         sends++;
         unresolvedSends++;
         triedServers.add(target.server());
+        promptParts.sent();
         responseHead = null;
         Duration remaining = Duration.ofNanos(Math.max(1, deadlineNanos - now));
         Optional<String> resumeAfter = eventSplitter == null ? Optional.empty() : eventSplitter.lastId();
@@ -347,6 +384,7 @@
         if (completeEvents.length == 0) {
             return;
         }
+        promptParts.eventReceived();
         if (firstEventNanos == 0) {
             firstEventNanos = now();
             reservation.promptProcessed();
@@ -399,6 +437,7 @@
                 caller.writeBody(eventSplitter.takeIncomplete());
             }
             caller.endResponse();
+            promptParts.responseCompleted();
             if (sends == 1) {
                 context.latencyModel().recordRunTime(server, Duration.ofNanos(now() - firstEventNanos));
             }
@@ -413,6 +452,9 @@
         boolean unconfirmedRefusal = PROMISED_NOT_RUN.contains(status);
         boolean failed = unconfirmedRefusal || status.codeClass() == HttpStatusClass.SERVER_ERROR;
         if (!failed) {
+            if (status.codeClass() == HttpStatusClass.SUCCESS) {
+                promptParts.responseCompleted();
+            }
             context.health().recordResponse(server, true, now());
             context.notices().recordServed(selectedServer.entry(), now());
         } else if (context.notices()
@@ -439,10 +481,25 @@
         connection = null;
         cancelResponseTimer();
         context.health().recordResponse(server, false, now());
-        if ("reset".equals(cause) || "closed".equals(cause)) {
-            checkForCrash(server);
-        }
         log.responseFailed(server, cause, streaming ? eventSplitter.lastId() : Optional.empty());
+        if (!"reset".equals(cause) && !"closed".equals(cause)) {
+            retryOrFail(cause);
+            return;
+        }
+        Set<PartKey> unanswered = promptParts.unansweredParts();
+        if (unanswered.isEmpty()) {
+            context.crashDetector().connectionBroken(selectedServer.entry(), unanswered, () -> {});
+            retryOrFail(cause);
+        } else {
+            // The next server must not get the request if the crash proves that its prompt is the cause.
+            context.crashDetector().connectionBroken(selectedServer.entry(), unanswered, () -> retryOrFail(cause));
+        }
+    }
+
+    private void retryOrFail(String cause) {
+        if (done || rejectIfQuarantined()) {
+            return;
+        }
         if (tryAcquireRetry()) {
             retry(cause);
         } else if (streaming) {
@@ -452,16 +509,6 @@
         }
     }
 
-    /** Records a broken connection unless others to the same server are still open once all closures are processed. */
-    private void checkForCrash(ServerName server) {
-        long brokenNanos = now();
-        var unused = context.timers().scheduleOnce("crash check", CRASH_CHECK_DELAY, () -> {
-            if (context.connectionPool().openCount(server) == 0) {
-                context.health().recordBrokenConnection(server, brokenNanos);
-            }
-        });
-    }
-
     private void handleNotExecuted(ServerName server, HttpResponseStatus status) {
         reservation.release();
         unresolvedSends--;
--- a/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RetryAfter.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
+import org.coltsfootquay.decision.quarantine.PartQuarantine;
 
 /** Values of the Retry-After header for rejected requests. */
 final class RetryAfter {
@@ -24,6 +25,12 @@
     /** The router has no configuration yet: it reads one within about this time after its start. */
     static final Duration NO_CONFIGURATION = Duration.ofMillis(200);
 
+    /**
+     * A part of the prompt seems to crash servers: by then the answers of other routers have acquitted the part, or the
+     * caller is told not to retry.
+     */
+    static final Duration QUARANTINE_SETTLED = PartQuarantine.SETTLING_TIME;
+
     /** Bounds on the retry time after a rejection for lack of capacity, milliseconds. */
     private static final long MIN_MILLIS = 150;
 
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -104,6 +104,7 @@
         loads.putAll(forwarding.loads().localLoad());
         addLoads(beacon, loads);
         addPromptCacheUpdates(beacon);
+        QuarantineNewsCodec.add(beacon, forwarding.quarantine().takeNews(true, timers.nowNanos()));
         forwarding
                 .demands()
                 .localDemands(timers.nowNanos())
@@ -120,20 +121,22 @@
     }
 
     /**
-     * Sends the changed loads and the new prompt cache updates since the last beacon, if any load has changed.
+     * Sends the changed loads and the new prompt cache updates since the last beacon, if any load has changed or
+     * servers have crashed.
      *
      * <p>The choice of a server depends on what the other routers have sent to it within the last fractions of a
      * second. All other content may be as old as the beacon period of a large fleet.
      */
     void sendUpdate(BeaconSender channel) {
         Map<ServerName, ServerLoad> changed = forwarding.loads().takeChanged();
-        if (changed.isEmpty()) {
+        if (changed.isEmpty() && !forwarding.quarantine().hasNews()) {
             return;
         }
         Beacon.Builder beacon =
                 Beacon.newBuilder().setUpdate(true).setIncarnation(incarnation).setSequence(sequence++);
         addLoads(beacon, changed);
         addPromptCacheUpdates(beacon);
+        QuarantineNewsCodec.add(beacon, forwarding.quarantine().takeNews(false, timers.nowNanos()));
         sendToPeers(channel, beacon.build().toByteArray());
     }
 
@@ -208,6 +211,7 @@
         forwarding.loads().replacePeerReport(peer.id(), loads(beacon));
         recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
+        forwarding.quarantine().receive(QuarantineNewsCodec.read(beacon), timers.nowNanos());
         Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
         for (BeaconDemand demand : beacon.getDemandsList()) {
             if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
@@ -233,6 +237,7 @@
         forwarding.loads().updatePeerLoads(peer, loads(beacon));
         recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
+        forwarding.quarantine().receive(QuarantineNewsCodec.read(beacon), timers.nowNanos());
     }
 
     private static Map<ServerName, ServerLoad> loads(Beacon beacon) {
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -156,7 +156,8 @@
             sendBeacon();
             sendUpdate();
             lastUpdateNanos = timers.nowNanos();
-            forwarding.setPromptSentListener(this::announcePrompt);
+            forwarding.setPromptSentListener(this::scheduleUpdate);
+            forwarding.setQuarantineNewsListener(this::scheduleUpdate);
             timers.schedulePeriodic("sweep", CLEANUP_PERIOD, this::cleanUp);
         });
         int[] unbound = {bound.size()};
@@ -266,10 +267,11 @@
     }
 
     /**
-     * Announces a dispatched prompt soon: its engine is busy with it before the next periodic update, and other routers
-     * would send theirs to the same engine meanwhile.
+     * Sends an update soon. A dispatched prompt keeps its engine busy before the next periodic update, and other
+     * routers would send theirs to the same engine meanwhile; a prompt that crashes engines may arrive at another
+     * router next.
      */
-    private void announcePrompt() {
+    private void scheduleUpdate() {
         if (updateScheduled) {
             return;
         }
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
@@ -0,0 +1,62 @@
+package org.coltsfootquay.router.node;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.quarantine.CrashReport;
+import org.coltsfootquay.decision.quarantine.PartKey;
+import org.coltsfootquay.decision.quarantine.QuarantineNews;
+import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.protocol.generated.peer.BeaconAnswer;
+import org.coltsfootquay.protocol.generated.peer.BeaconCrash;
+
+/** Converts news about crashes to and from the fields of beacons. */
+final class QuarantineNewsCodec {
+
+    /** Ages above this are cut, since larger ones overflow a duration in nanoseconds; far above any retention time. */
+    private static final long MAX_AGE_MILLIS = Duration.ofDays(1).toMillis();
+
+    private QuarantineNewsCodec() {}
+
+    /** Adds news to a beacon. */
+    static void add(Beacon.Builder beacon, QuarantineNews news) {
+        news.crashes().forEach((report, age) -> {
+            BeaconCrash.Builder crash = BeaconCrash.newBuilder()
+                    .setServer(report.server().value())
+                    .setStartedMillis(report.startedMillis())
+                    .setAgeMillis(age.toMillis());
+            report.parts().forEach(part -> crash.addParts(part.hash()));
+            beacon.addCrashes(crash);
+        });
+        news.answers()
+                .forEach((part, age) -> beacon.addAnswers(
+                        BeaconAnswer.newBuilder().setPart(part.hash()).setAgeMillis(age.toMillis())));
+    }
+
+    /** Returns the news in a beacon; crashes without a server or parts are left out. */
+    static QuarantineNews read(Beacon beacon) {
+        Map<CrashReport, Duration> crashes = new HashMap<>();
+        for (BeaconCrash crash : beacon.getCrashesList()) {
+            Set<PartKey> parts = new HashSet<>();
+            crash.getPartsList().forEach(hash -> parts.add(new PartKey(hash)));
+            if (!crash.getServer().isBlank() && !parts.isEmpty()) {
+                CrashReport report =
+                        new CrashReport(new ServerName(crash.getServer()), crash.getStartedMillis(), parts);
+                crashes.put(report, age(crash.getAgeMillis()));
+            }
+        }
+        Map<PartKey, Duration> answers = new HashMap<>();
+        for (BeaconAnswer answer : beacon.getAnswersList()) {
+            answers.put(new PartKey(answer.getPart()), age(answer.getAgeMillis()));
+        }
+        return new QuarantineNews(crashes, answers);
+    }
+
+    private static Duration age(long millis) {
+        boolean valid = millis >= 0 && millis < MAX_AGE_MILLIS;
+        return Duration.ofMillis(valid ? millis : MAX_AGE_MILLIS);
+    }
+}
--- a/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
@@ -23,6 +23,7 @@
 
     public final List<String> requestHeads = new CopyOnWriteArrayList<>();
     public final AtomicInteger connections = new AtomicInteger();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Script script;
 
@@ -43,6 +44,14 @@
         server.close();
     }
 
+    /** Closes the server and all connections, as the end of its process does. */
+    public void crash() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     public static byte[] response(int status, String body) {
         return ("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length
                         + "\r\n\r\n" + body)
@@ -58,6 +67,7 @@
             try {
                 Socket socket = server.accept();
                 connections.incrementAndGet();
+                sockets.add(socket);
                 Thread thread = new Thread(() -> serve(socket), "scripted-connection");
                 thread.setDaemon(true);
                 thread.start();
--- /dev/null
+++ b/router/src/test/java/org/coltsfootquay/router/forward/CrashingPromptPartTest.java
@@ -0,0 +1,139 @@
+package org.coltsfootquay.router.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.coltsfootquay.decision.quarantine.PartQuarantine;
+import org.coltsfootquay.router.backend.ScriptedServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that crash one engine after the other because a part of their prompts does. */
+final class CrashingPromptPartTest {
+
+    private static final int ENGINES = 8;
+
+    /** Crashes that prove a part; the same number as without any router restart in between. */
+    private static final int CRASHES_UNTIL_PROOF = 3;
+
+    private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
+    private static final Pattern PARTS = Pattern.compile("(?im)^X-Parts: (\\S+)");
+    private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+    private final List<ScriptedServer> engines = new CopyOnWriteArrayList<>();
+    private final AtomicInteger crashes = new AtomicInteger();
+    private ForwardingFixture fixture;
+    private int requests;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardingFixture().withConfiguration();
+        for (int i = 0; i < ENGINES; i++) {
+            startEngine();
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+        for (ScriptedServer engine : engines) {
+            engine.close();
+        }
+    }
+
+    @Test
+    void crashesEndOnceThePartIsProved() throws Exception {
+        for (int i = 0; i < 6; i++) {
+            send("caller-" + i + ",deadly,own-" + i);
+        }
+        assertEquals(CRASHES_UNTIL_PROOF, crashes.get());
+    }
+
+    @Test
+    void callerOfAProvedPartIsToldNotToRepeat() throws Exception {
+        provePart();
+        String response = send("caller,deadly,own");
+        assertTrue(response.startsWith("HTTP/1.1 400"), response);
+        assertTrue(response.contains("quarantined_part") && response.contains("do not repeat"), response);
+        assertTrue(response.contains("\"execution\":\"not_run\""), response);
+        assertEquals(CRASHES_UNTIL_PROOF, crashes.get());
+    }
+
+    @Test
+    void soundRequestsWithTheOtherPartsAreServed() throws Exception {
+        provePart();
+        for (int i = 0; i < 3; i++) {
+            assertServed(send("caller-" + i + ",own"));
+        }
+        assertServed(send("caller-0,deadly"));
+    }
+
+    @Test
+    void requestsWithoutPartsAreServedBesideAProvedPart() throws Exception {
+        provePart();
+        assertServed(fixture.call("POST", "/resume/a", "plain"));
+    }
+
+    /** An ordinary crash takes the requests of the moment with it, which share their parts with those that follow. */
+    @Test
+    void ordinaryCrashesRejectNoSoundRequest() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            engines.get(i).crash();
+            assertServed(send("shared,own-" + i));
+        }
+        for (int i = 0; i < 5; i++) {
+            assertServed(send("shared,other-" + i));
+        }
+    }
+
+    private void provePart() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            send("caller-" + i + ",deadly,own-" + i);
+        }
+        Thread.sleep(PartQuarantine.SETTLING_TIME.plusMillis(50).toMillis());
+    }
+
+    private String send(String parts) throws IOException {
+        return fixture.call("POST", "/resume/a", "id-" + requests++, "X-Parts: " + parts + "\r\n");
+    }
+
+    private static void assertServed(String response) {
+        assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("0\r\n\r\n"), response);
+    }
+
+    private void startEngine() throws Exception {
+        List<ScriptedServer> self = new ArrayList<>();
+        ScriptedServer engine =
+                new ScriptedServer((head, output, socket) -> respond(self.get(0), head, output, socket));
+        self.add(engine);
+        engines.add(engine);
+        fixture.registerServer(engine.address());
+    }
+
+    private void respond(ScriptedServer engine, String head, OutputStream output, Socket socket) throws Exception {
+        Matcher id = ID.matcher(head);
+        Matcher parts = PARTS.matcher(head);
+        // The last part belongs to one request and crashes nothing.
+        if (parts.find() && parts.group(1).contains("deadly,")) {
+            crashes.incrementAndGet();
+            Thread.sleep(Duration.ofMillis(20).toMillis());
+            engine.crash();
+            socket.close();
+            return;
+        }
+        output.write(ScriptedServer.ascii("HTTP/1.1 200 X\r\nX-Id: " + (id.find() ? id.group(1) : "")
+                + "\r\nX-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(EVENTS.length()) + "\r\n" + EVENTS + "\r\n0\r\n\r\n"));
+    }
+}
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -149,8 +149,13 @@
 
     /** Sends a request with a valid key on a new connection and returns everything received until it closes. */
     String call(String method, String path, String id) throws IOException {
-        return sendRaw(method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id
-                + "\r\nX-Key: good\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        return call(method, path, id, "");
+    }
+
+    /** Sends a request with additional header lines. */
+    String call(String method, String path, String id, String headerLines) throws IOException {
+        return sendRaw(method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id + "\r\n" + headerLines
+                + "X-Key: good\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     }
 
     String sendRaw(String request) throws IOException {
--- a/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
@@ -4,8 +4,11 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.decision.selection.Prompt;
+import org.coltsfootquay.decision.selection.PromptPart;
 
 /** Request dialect with simple header names for tests. */
 final class TestDialect implements RequestDialect {
@@ -18,7 +21,18 @@
                 headers.get("Host", ""),
                 Optional.ofNullable(headers.get("X-Key")),
                 Optional.ofNullable(headers.get("X-Deadline")).map(text -> Duration.ofMillis(Long.parseLong(text))),
-                Prompt.NONE);
+                headers.get("X-Model", ""),
+                prompt(headers.get("X-Parts", "")));
+    }
+
+    private static Prompt prompt(String parts) {
+        if (parts.isEmpty()) {
+            return Prompt.NONE;
+        }
+        List<PromptPart> list = Arrays.stream(parts.split(",", -1))
+                .map(id -> new PromptPart(id, 10))
+                .toList();
+        return new Prompt(list, 10 * list.size(), 10);
     }
 
     @Override
