Tell the end of a response from the end of its server

Callers got a plain answer without length or chunks, or a stream at the boundary of an event, as complete although its engine had crashed: the system closes the connections of a process that crashes like those of one that has finished.

Cause: the end of the connection alone counted as the end of the response. Now the server must still hold a connection, or accept a new one, after the closures of the moment are processed; otherwise the response counts as cut, is retried or resumed where the route permits it, and fails visibly elsewhere.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.quarantine.CrashReport;
@@ -63,6 +64,29 @@
         var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> check(broken));
     }
 
+    /**
+     * Finds out whether a server is alive after a connection to it has ended in order, which the end of its process
+     * also causes.
+     *
+     * @param server server
+     * @param result receives true if the server still holds or accepts connections
+     */
+    void checkAlive(BackendEntry server, Consumer<Boolean> result) {
+        var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> {
+            if (connectionPool.openCount(server.server()) > 0) {
+                result.accept(true);
+                return;
+            }
+            connectionPool.acquire(
+                    server,
+                    connection -> {
+                        connectionPool.release(connection);
+                        result.accept(true);
+                    },
+                    reason -> result.accept(false));
+        });
+    }
+
     private void check(BrokenConnection broken) {
         ServerName server = broken.server.server();
         List<BrokenConnection> others = unchecked.getOrDefault(server, List.of());
--- a/router/src/main/java/org/coltsfootquay/router/forward/HeaderUtils.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/HeaderUtils.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
 import java.util.Locale;
@@ -64,12 +65,14 @@
     }
 
     /**
-     * Returns whether the end of a body can be told from the end of its connection.
+     * Returns whether only the end of the connection shows that the body of a response is complete.
      *
      * @param response status line and headers
-     * @return true if the body is chunked or has a length
+     * @return true if the body is not chunked, has no length and may be present
      */
-    static boolean hasLength(HttpResponse response) {
-        return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    static boolean endsWithConnection(HttpResponse response) {
+        boolean bodyless = response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        return !bodyless && !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response);
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -361,7 +361,7 @@
 
     @Override
     public void bodyReceived(ByteBuf bytes) {
-        if (!streaming || responseHead.status().codeClass() != HttpStatusClass.SUCCESS) {
+        if (!succeeding()) {
             if (responseBody.size() + bytes.readableBytes() > responseLimits().bodyBytes()) {
                 abandonResponse("endless_body");
                 return;
@@ -423,17 +423,39 @@
 
     @Override
     public void responseCompleted() {
-        ServerName server = selectedServer.entry().server();
         connection = null;
         cancelResponseTimer();
+        if (!HeaderUtils.endsWithConnection(responseHead)) {
+            handleCompleteResponse();
+            return;
+        }
+        if (succeeding() && eventSplitter.incompleteBytes() > 0) {
+            responseFailed("truncated_event");
+            return;
+        }
+        // The end of the connection completes the response, unless the server has crashed.
+        context.crashDetector().checkAlive(selectedServer.entry(), alive -> {
+            if (done) {
+                return;
+            }
+            if (alive) {
+                handleCompleteResponse();
+            } else {
+                responseFailed("closed");
+            }
+        });
+    }
+
+    /** Returns whether the current response continues the stream of the caller. */
+    private boolean succeeding() {
+        return streaming && responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
+    private void handleCompleteResponse() {
+        ServerName server = selectedServer.entry().server();
         HttpResponseStatus status = responseHead.status();
-        if (streaming && status.codeClass() == HttpStatusClass.SUCCESS) {
+        if (succeeding()) {
             if (eventSplitter.incompleteBytes() > 0) {
-                if (!HeaderUtils.hasLength(responseHead)) {
-                    // The end of the connection does not tell a complete stream from one that broke within an event.
-                    responseFailed("truncated_event");
-                    return;
-                }
                 caller.writeBody(eventSplitter.takeIncomplete());
             }
             caller.endResponse();
