Reject odd rows of the store before a decision reads them

Reported by other operators: one odd entry among those of the servers ended the routers that read it, or kept them from following the list.

Deep nesting and numbers of a thousand digits were rejected already.

Such a row is left out with a log line; the others hold.

--- a/decision/src/main/java/org/coltsfootquay/decision/backend/BackendEntry.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/backend/BackendEntry.java
@@ -35,7 +35,7 @@
         ArgumentUtils.requireValue(server, "server");
         ArgumentUtils.requireValue(service, "service");
         ArgumentUtils.requireText(host, "host");
-        ArgumentUtils.requirePositive(port, "port");
+        ArgumentUtils.requirePort(port, "port");
         ArgumentUtils.requirePositive(slots, "slots");
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/common/ArgumentUtils.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/common/ArgumentUtils.java
@@ -3,6 +3,8 @@
 /** Argument checks that throw {@link IllegalArgumentException}. */
 public final class ArgumentUtils {
 
+    private static final int MAX_PORT = 65535;
+
     private ArgumentUtils() {}
 
     /**
@@ -65,4 +67,19 @@
         }
         return value;
     }
+
+    /**
+     * Requires a TCP or UDP port.
+     *
+     * @param value port
+     * @param name name of the argument, for the error message
+     * @return the port
+     * @throws IllegalArgumentException if the port is not between 1 and 65535
+     */
+    public static int requirePort(int value, String name) {
+        if (value < 1 || value > MAX_PORT) {
+            throw new IllegalArgumentException(name + " must be between 1 and " + MAX_PORT + " but is " + value);
+        }
+        return value;
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerRouter.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerRouter.java
@@ -20,7 +20,7 @@
         ArgumentUtils.requireValue(id, "id");
         ArgumentUtils.requireValue(zone, "zone");
         ArgumentUtils.requireText(host, "host");
-        ArgumentUtils.requirePositive(peerPort, "peerPort");
+        ArgumentUtils.requirePort(peerPort, "peerPort");
         ArgumentUtils.requireText(callerAddress, "callerAddress");
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
@@ -9,6 +9,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,9 @@
     /** Idle time before the first keep-alive probe and time between probes, seconds; the shortest possible. */
     private static final int PROBE_SECONDS = 1;
 
+    /** Characters of a malformed address that an error message quotes. */
+    private static final int MAX_QUOTED_CHARACTERS = 60;
+
     private ChannelUtils() {}
 
     /**
@@ -108,6 +112,27 @@
         }
     }
 
+    /**
+     * Parses an address whose host is an IP address, without resolving any name.
+     *
+     * @param address text of the form {@code ip:port}; an IPv6 address is enclosed in square brackets
+     * @return socket address
+     * @throws IllegalArgumentException if the text has a different form
+     */
+    public static InetSocketAddress parseIpAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        String host = colon < 0 ? address : address.substring(0, colon);
+        boolean bracketed = host.startsWith("[") && host.endsWith("]");
+        if (bracketed ? !NetUtil.isValidIpV6Address(host) : !NetUtil.isValidIpV4Address(host)) {
+            throw new IllegalArgumentException("address \"" + shorten(address) + "\" is not of the form ip:port");
+        }
+        return parseAddress(address);
+    }
+
+    private static String shorten(String text) {
+        return text.length() <= MAX_QUOTED_CHARACTERS ? text : text.substring(0, MAX_QUOTED_CHARACTERS) + "...";
+    }
+
     /**
      * Formats the local address of a bound channel.
      *
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -262,8 +262,8 @@
     }
 
     private void sendBeacon() {
-        beaconExchange.send(beaconChannel::send);
         timers.scheduleOnce("beacon", peers.beaconPeriod(), this::sendBeacon);
+        beaconExchange.send(beaconChannel::send);
     }
 
     /**
@@ -287,10 +287,10 @@
 
     private void sendUpdate() {
         Duration period = peers.updatePeriod();
+        timers.scheduleOnce("load update", period.isZero() ? CLEANUP_PERIOD : period, this::sendUpdate);
         if (!period.isZero()) {
             beaconExchange.sendUpdate(beaconChannel::send);
         }
-        timers.scheduleOnce("load update", period.isZero() ? CLEANUP_PERIOD : period, this::sendUpdate);
     }
 
     /** Registers again after another router removed the row of this one because it had received no beacon for long. */
--- a/router/src/main/java/org/coltsfootquay/router/node/PeerRouterCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/PeerRouterCodec.java
@@ -6,6 +6,7 @@
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
+import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.log.EventLog;
 import org.coltsfootquay.router.state.TableRow;
 
@@ -14,6 +15,9 @@
 
     private static final EventLog LOG = EventLog.of(PeerRouterCodec.class);
 
+    /** Maximum length of the names of routers and zones; the store accepts no longer key. */
+    private static final int MAX_NAME_LENGTH = 200;
+
     private PeerRouterCodec() {}
 
     /** Creates a beacon builder with the identity and addresses of a router. */
@@ -29,6 +33,12 @@
     /** Reads the sender of a beacon; returns empty if its identity or addresses are invalid. */
     static Optional<PeerRouter> convert(Beacon beacon) {
         try {
+            if (beacon.getRouter().length() > MAX_NAME_LENGTH
+                    || beacon.getZone().length() > MAX_NAME_LENGTH) {
+                throw new IllegalArgumentException("a name has more than " + MAX_NAME_LENGTH + " characters");
+            }
+            ChannelUtils.parseIpAddress(beacon.getHost() + ":" + beacon.getPeerPort());
+            ChannelUtils.parseIpAddress(beacon.getCallerAddress());
             return Optional.of(new PeerRouter(
                     new RouterId(beacon.getRouter()),
                     new ZoneName(beacon.getZone()),
--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -70,7 +70,7 @@
     public void rowsChanged(WatchedTable table, List<TableRow> changes, Collection<TableRow> rows) {
         switch (table) {
             case OPERATOR -> applyOperator(rows);
-            case SERVERS -> changes.forEach(this::applyServer);
+            case SERVERS -> changes.stream().filter(row -> !row.key().isBlank()).forEach(this::applyServer);
             case ROUTERS -> applyRouters(rows);
             default -> throw new IllegalArgumentException("table " + table + " has no handler; add a case for it");
         }
