Attribute crashes to a part only if different requests involve it

Cause: three crashes proved a part, also those of one request and its retries. Reports now say with which last part each part came. Three crashes prove a part if at least two different requests were involved, otherwise five do.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.coltsfootquay.decision.common.ServerName;
 
 /**
@@ -26,11 +27,15 @@
     /** Crashes without an answer in between that prove a part which no server has answered before. */
     static final int REQUIRED_CRASHES = 3;
 
+    /** Different requests that must have been involved; one that is resumed or repeated crashes several servers. */
+    static final int REQUIRED_REQUESTS = 2;
+
     /**
-     * Crashes that prove a part which was answered before: it can only have become harmful by a change of the servers,
-     * while a popular part is involved in many crashes when a zone fails.
+     * Crashes that prove a part which was answered before or has come with one request only. The former can have become
+     * harmful only by a change of the servers, and a popular part is involved in many crashes when a zone fails; the
+     * latter may be a sound request that was resumed on several servers that others crashed.
      */
-    static final int REQUIRED_CRASHES_AFTER_ANSWER = 5;
+    static final int REQUIRED_CRASHES_IN_DOUBT = 5;
 
     /** Time since its last answer before such a part can be proved; requests in progress elsewhere are answered. */
     static final Duration SETTLING_TIME_AFTER_ANSWER = Duration.ofSeconds(2);
@@ -42,8 +47,8 @@
     private static final int MAX_PARTS_PER_CRASH = 64;
     private static final int MAX_ANSWERED_PARTS = 8192;
 
-    /** Time of the crash by involved part, least recently reported crash first. */
-    private final Map<Incarnation, Map<PartKey, Long>> crashes = new LinkedHashMap<>();
+    /** Involvement in the crash by part, least recently reported crash first. */
+    private final Map<Incarnation, Map<PartKey, Involvement>> crashes = new LinkedHashMap<>();
 
     /** Time of the last answer by part, least recently answered part first. */
     private final Map<PartKey, Long> answers = new LinkedHashMap<>();
@@ -57,19 +62,19 @@
      */
     boolean addCrash(CrashReport report, long crashNanos) {
         Incarnation incarnation = new Incarnation(report.server(), report.startedMillis());
-        Map<PartKey, Long> parts = crashes.computeIfAbsent(incarnation, key -> new HashMap<>());
+        Map<PartKey, Involvement> parts = crashes.computeIfAbsent(incarnation, key -> new HashMap<>());
         boolean changed = false;
-        for (PartKey part : report.parts()) {
-            if (parts.size() >= MAX_PARTS_PER_CRASH && !parts.containsKey(part)) {
+        for (Map.Entry<PartKey, PartKey> entry : report.parts().entrySet()) {
+            if (parts.size() >= MAX_PARTS_PER_CRASH && !parts.containsKey(entry.getKey())) {
                 break;
             }
-            Long known = parts.get(part);
-            if (known == null) {
-                parts.put(part, crashNanos);
+            Involvement involvement = parts.get(entry.getKey());
+            if (involvement == null) {
+                involvement = new Involvement(crashNanos);
+                parts.put(entry.getKey(), involvement);
                 changed = true;
-            } else if (crashNanos - known > 0) {
-                parts.put(part, crashNanos);
             }
+            changed |= involvement.add(entry.getValue(), crashNanos);
         }
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
@@ -100,8 +105,8 @@
     Set<PartKey> suspects() {
         Set<PartKey> suspects = new HashSet<>();
         crashes.values()
-                .forEach(parts -> parts.forEach((part, crashNanos) -> {
-                    if (!answeredSince(part, crashNanos)) {
+                .forEach(parts -> parts.forEach((part, involvement) -> {
+                    if (!answeredSince(part, involvement.crashNanos)) {
                         suspects.add(part);
                     }
                 }));
@@ -125,14 +130,13 @@
     private Optional<Culprit> strongest(Set<Incarnation> unexplained, long nowNanos) {
         Map<PartKey, Set<Incarnation>> involved = new HashMap<>();
         for (Incarnation incarnation : unexplained) {
-            crashes.get(incarnation).forEach((part, crashNanos) -> {
-                if (!answeredSince(part, crashNanos)) {
+            crashes.get(incarnation).forEach((part, involvement) -> {
+                if (!answeredSince(part, involvement.crashNanos)) {
                     involved.computeIfAbsent(part, key -> new LinkedHashSet<>()).add(incarnation);
                 }
             });
         }
-        involved.entrySet()
-                .removeIf(entry -> !isProved(entry.getKey(), entry.getValue().size(), nowNanos));
+        involved.entrySet().removeIf(entry -> !isProved(entry.getKey(), entry.getValue(), nowNanos));
         Optional<PartKey> strongest = involved.keySet().stream()
                 .max(Comparator.<PartKey>comparingInt(part -> involved.get(part).size())
                         .thenComparingLong(PartKey::hash));
@@ -149,18 +153,22 @@
         List<String> servers =
                 explained.stream().map(crash -> crash.server().value()).toList();
         long last = explained.stream()
-                .map(crash -> crashes.get(crash).get(part))
+                .map(crash -> crashes.get(crash).get(part).crashNanos)
                 .max((a, b) -> Long.signum(a - b))
                 .orElseThrow();
         return new Culprit(parts, servers, last);
     }
 
-    private boolean isProved(PartKey part, int count, long nowNanos) {
-        Long answered = answers.get(part);
-        if (answered == null) {
-            return count >= REQUIRED_CRASHES;
+    private boolean isProved(PartKey part, Set<Incarnation> involved, long nowNanos) {
+        if (involved.size() >= REQUIRED_CRASHES_IN_DOUBT) {
+            Long answered = answers.get(part);
+            return answered == null || nowNanos - answered >= SETTLING_TIME_AFTER_ANSWER.toNanos();
         }
-        return count >= REQUIRED_CRASHES_AFTER_ANSWER && nowNanos - answered >= SETTLING_TIME_AFTER_ANSWER.toNanos();
+        Set<PartKey> requests = new HashSet<>();
+        involved.forEach(crash -> requests.addAll(crashes.get(crash).get(part).requests));
+        return involved.size() >= REQUIRED_CRASHES
+                && requests.size() >= REQUIRED_REQUESTS
+                && !answers.containsKey(part);
     }
 
     private boolean answeredSince(PartKey part, long crashNanos) {
@@ -169,25 +177,49 @@
     }
 
     private void removeOld(long nowNanos) {
-        crashes.values().forEach(parts -> parts.values().removeIf(time -> nowNanos - time > RETENTION_TIME.toNanos()));
+        crashes.values()
+                .forEach(parts -> parts.values()
+                        .removeIf(involvement -> nowNanos - involvement.crashNanos > RETENTION_TIME.toNanos()));
         crashes.values().removeIf(Map::isEmpty);
     }
 
     /** Returns the most recent crashes that are attributed to a culprit, restricted to its parts. */
     Map<CrashReport, Long> crashesOf(Culprit culprit, int limit) {
-        List<Map.Entry<CrashReport, Long>> found = new ArrayList<>();
+        Map<CrashReport, Long> found = new HashMap<>();
         crashes.forEach((incarnation, parts) -> {
             if (parts.keySet().containsAll(culprit.parts())) {
-                long time = parts.get(culprit.parts().iterator().next());
-                found.add(Map.entry(
-                        new CrashReport(incarnation.server(), incarnation.startedMillis(), culprit.parts()), time));
+                Map<PartKey, PartKey> involved = new HashMap<>();
+                culprit.parts()
+                        .forEach(part -> involved.put(
+                                part, parts.get(part).requests.iterator().next()));
+                long time = parts.get(culprit.parts().iterator().next()).crashNanos;
+                found.put(new CrashReport(incarnation.server(), incarnation.startedMillis(), involved), time);
             }
         });
-        found.sort((a, b) -> Long.signum(b.getValue() - a.getValue()));
-        Map<CrashReport, Long> latest = new LinkedHashMap<>();
-        found.stream().limit(limit).forEach(entry -> latest.put(entry.getKey(), entry.getValue()));
-        return latest;
+        return found.entrySet().stream()
+                .sorted((a, b) -> Long.signum(b.getValue() - a.getValue()))
+                .limit(limit)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
     private record Incarnation(ServerName server, long startedMillis) {}
+
+    /** Involvement of one part in one crash. */
+    private static final class Involvement {
+
+        private final Set<PartKey> requests = new LinkedHashSet<>();
+        private long crashNanos;
+
+        private Involvement(long crashNanos) {
+            this.crashNanos = crashNanos;
+        }
+
+        /** Adds a request with the part; returns false if it is known or enough others are. */
+        private boolean add(PartKey request, long nanos) {
+            if (nanos - crashNanos > 0) {
+                crashNanos = nanos;
+            }
+            return requests.size() < REQUIRED_REQUESTS && requests.add(request);
+        }
+    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartKey.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartKey.java
@@ -34,6 +34,19 @@
         return keys;
     }
 
+    /**
+     * Returns the key of the last part of a prompt, by which different requests with the same shared parts are told
+     * apart. A caller that repeats a request sends the same one.
+     *
+     * @param prompt prompt
+     * @return key; the same for all prompts without parts
+     */
+    public static PartKey ofLastPart(Prompt prompt) {
+        List<PromptPart> parts = prompt.parts();
+        return new PartKey(
+                parts.isEmpty() ? 0 : HashUtils.hash(parts.get(parts.size() - 1).id()));
+    }
+
     @Override
     public String toString() {
         return Long.toHexString(hash);
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -52,7 +52,7 @@
     private static final int REPETITIONS = 4;
 
     /** Crashes of each culprit that are repeated for routers that join; enough to prove any part. */
-    private static final int REPEATED_CRASHES = CrashEvidence.REQUIRED_CRASHES_AFTER_ANSWER + 3;
+    private static final int REPEATED_CRASHES = CrashEvidence.REQUIRED_CRASHES_IN_DOUBT + 3;
 
     /** Maximum number of answers that wait to be sent; more than the parts that one crash involves. */
     private static final int MAX_ANSWERS_TO_SEND = 256;
@@ -91,7 +91,7 @@
             return;
         }
         crashesToSend.put(report, new Outgoing(nowNanos));
-        report.parts().forEach(this::sendAnswer);
+        report.parts().keySet().forEach(this::sendAnswer);
         evaluate(nowNanos);
         listener.newsAdded();
     }
@@ -170,7 +170,7 @@
                 long crashNanos = nowNanos - crash.getValue().toNanos();
                 if (evidence.addCrash(crash.getKey(), crashNanos)) {
                     changed = true;
-                    crash.getKey().parts().forEach(this::sendAnswer);
+                    crash.getKey().parts().keySet().forEach(this::sendAnswer);
                 }
             }
         }
--- a/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/ChannelUtils.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import jdk.net.ExtendedSocketOptions;
 
 /** Utility methods for Netty channels and socket addresses. */
@@ -22,6 +23,8 @@
     /** Idle time before the first keep-alive probe and time between probes, seconds; the shortest possible. */
     private static final int PROBE_SECONDS = 1;
 
+    private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
+
     /** Characters of a malformed address that an error message quotes. */
     private static final int MAX_QUOTED_CHARACTERS = 60;
 
@@ -123,7 +126,8 @@
         int colon = address.lastIndexOf(':');
         String host = colon < 0 ? address : address.substring(0, colon);
         boolean bracketed = host.startsWith("[") && host.endsWith("]");
-        if (bracketed ? !NetUtil.isValidIpV6Address(host) : !NetUtil.isValidIpV4Address(host)) {
+        boolean validHost = bracketed ? NetUtil.isValidIpV6Address(host) : NetUtil.isValidIpV4Address(host);
+        if (!validHost || !PORT.matcher(address.substring(colon + 1)).matches()) {
             throw new IllegalArgumentException("address \"" + shorten(address) + "\" is not of the form ip:port");
         }
         return parseAddress(address);
--- a/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.ServerName;
@@ -55,10 +53,10 @@
      * Records that a server closed or reset a connection during a request.
      *
      * @param server server
-     * @param parts shared prompt parts of the request if the server had not begun to answer it
+     * @param parts shared prompt parts of the request, with its last part, if the server had not begun to answer it
      * @param afterCheck runs when it is known whether the server has crashed
      */
-    void connectionBroken(BackendEntry server, Set<PartKey> parts, Runnable afterCheck) {
+    void connectionBroken(BackendEntry server, Map<PartKey, PartKey> parts, Runnable afterCheck) {
         BrokenConnection broken = new BrokenConnection(server, parts, timers.nowNanos(), afterCheck);
         unchecked.computeIfAbsent(server.server(), name -> new ArrayList<>()).add(broken);
         var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> check(broken));
@@ -99,10 +97,10 @@
             return;
         }
         unchecked.remove(server);
-        Set<PartKey> parts = new HashSet<>();
+        Map<PartKey, PartKey> parts = new HashMap<>();
         for (BrokenConnection other : others) {
             health.recordBrokenConnection(server, other.brokenNanos);
-            parts.addAll(other.parts);
+            parts.putAll(other.parts);
         }
         metrics.count("coltsfootquay_server_crashes_total");
         LOG.warn(
@@ -114,10 +112,11 @@
                 "requests",
                 others.size(),
                 "parts",
-                parts);
+                parts.keySet());
         quarantine.recordCrash(new CrashReport(server, broken.server.startedMillis(), parts), broken.brokenNanos);
         others.forEach(other -> other.afterCheck.run());
     }
 
-    private record BrokenConnection(BackendEntry server, Set<PartKey> parts, long brokenNanos, Runnable afterCheck) {}
+    private record BrokenConnection(
+            BackendEntry server, Map<PartKey, PartKey> parts, long brokenNanos, Runnable afterCheck) {}
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -1,8 +1,11 @@
 package org.coltsfootquay.router.forward;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.quarantine.PartQuarantine;
 import org.coltsfootquay.decision.quarantine.Rejection;
@@ -17,14 +20,16 @@
     private final PartQuarantine quarantine;
     private final TimerService timers;
     private final Set<PartKey> parts;
+    private final PartKey lastPart;
     private boolean answering;
     private boolean answered;
     private long firstEventNanos;
 
-    PromptPartTracker(PartQuarantine quarantine, TimerService timers, Set<PartKey> parts) {
+    PromptPartTracker(PartQuarantine quarantine, TimerService timers, ServiceName service, RequestMetadata request) {
         this.quarantine = quarantine;
         this.timers = timers;
-        this.parts = parts;
+        this.parts = PartKey.ofSharedParts(service, request.model(), request.prompt());
+        this.lastPart = PartKey.ofLastPart(request.prompt());
     }
 
     /** Returns why the request must not be sent, or empty if it may be. */
@@ -55,9 +60,9 @@
         confirm();
     }
 
-    /** Returns the parts by which the server may have crashed, if it has. */
-    Set<PartKey> unansweredParts() {
-        return answered ? Set.of() : parts;
+    /** Returns the shared parts by which the server may have crashed, if it has, with the last part of the request. */
+    Map<PartKey, PartKey> unansweredParts() {
+        return answered ? Map.of() : parts.stream().collect(Collectors.toMap(part -> part, part -> lastPart));
     }
 
     private void confirm() {
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -10,6 +10,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.coltsfootquay.decision.backend.BackendEntry;
@@ -128,10 +129,8 @@
         this.arrivalNanos = arrivalNanos;
         this.log = new RelayLog(requestMetadata.requestId(), route, workspace);
         this.reservation = new Reservation(context.loads());
-        this.promptParts = new PromptPartTracker(
-                context.quarantine(),
-                context.timers(),
-                PartKey.ofSharedParts(service.name(), requestMetadata.model(), requestMetadata.prompt()));
+        this.promptParts =
+                new PromptPartTracker(context.quarantine(), context.timers(), service.name(), requestMetadata);
         Duration limit = requestMetadata
                 .deadline()
                 .filter(deadline -> deadline.compareTo(route.timeout()) < 0)
@@ -508,7 +507,7 @@
             retryOrFail(cause);
             return;
         }
-        Set<PartKey> unanswered = promptParts.unansweredParts();
+        Map<PartKey, PartKey> unanswered = promptParts.unansweredParts();
         if (unanswered.isEmpty()) {
             context.crashDetector().connectionBroken(selectedServer.entry(), unanswered, () -> {});
             retryOrFail(cause);
--- a/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.quarantine.CrashReport;
 import org.coltsfootquay.decision.quarantine.PartKey;
@@ -28,7 +26,8 @@
                     .setServer(report.server().value())
                     .setStartedMillis(report.startedMillis())
                     .setAgeMillis(age.toMillis());
-            report.parts().forEach(part -> crash.addParts(part.hash()));
+            report.parts()
+                    .forEach((part, lastPart) -> crash.addParts(part.hash()).addLastParts(lastPart.hash()));
             beacon.addCrashes(crash);
         });
         news.answers()
@@ -40,8 +39,10 @@
     static QuarantineNews read(Beacon beacon) {
         Map<CrashReport, Duration> crashes = new HashMap<>();
         for (BeaconCrash crash : beacon.getCrashesList()) {
-            Set<PartKey> parts = new HashSet<>();
-            crash.getPartsList().forEach(hash -> parts.add(new PartKey(hash)));
+            Map<PartKey, PartKey> parts = new HashMap<>();
+            for (int i = 0; i < Math.min(crash.getPartsCount(), crash.getLastPartsCount()); i++) {
+                parts.put(new PartKey(crash.getParts(i)), new PartKey(crash.getLastParts(i)));
+            }
             if (!crash.getServer().isBlank() && !parts.isEmpty()) {
                 CrashReport report =
                         new CrashReport(new ServerName(crash.getServer()), crash.getStartedMillis(), parts);
