Take a request during a stop only if it can end before the router does

Reported by other operators: requests that came late in the grace of a planned stop were passed on and cut without a response at its end, among them requests that must not be repeated.

Here a stopping router took requests for three times the cache time of addresses (3 s as deployed, until the end of the grace with longer ones) whatever time they had, and ended 0.5 s before the grace without a response to those that waited.

Now a request is taken if it is expected to end in the time that is left; one that must not be repeated only if its timeout is within it. The others are rejected at once as not executed, with Retry-After 0 and the end of the connection. At its end each caller that waits gets a response: 503 if its request was not sent, else 502.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -41,6 +41,8 @@
 
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
+    private static final String STOPPING = "stopping";
+
     /** Maximum number of pipelined requests that wait for the response to an earlier request. */
     private static final int MAX_PIPELINED = 8;
 
@@ -85,6 +87,18 @@
         }
     }
 
+    /** Responds to the request in progress, and closes the connection of a request that is not yet received. */
+    void endRequest() {
+        if (currentRelay != null) {
+            currentRelay.routerStopping();
+        } else if (busy) {
+            keepAlive = false;
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING, "", Optional.of(Duration.ZERO));
+        } else {
+            ChannelUtils.close(channelContext.channel());
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channelContext = ctx;
@@ -190,7 +204,7 @@
         keepAlive = persistent;
         long arrivalNanos = context.timers().nowNanos();
         Runnable start = () -> {
-            if (channelContext.channel().isActive()) {
+            if (channelContext.channel().isActive() && busy) {
                 route(request, requestHead, arrivalNanos);
             }
         };
@@ -222,11 +236,7 @@
             return;
         }
         if (!connections.acceptingRequests()) {
-            reject(
-                    HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "stopping",
-                    metadata.requestId(),
-                    Optional.of(Duration.ZERO));
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING, metadata.requestId(), Optional.of(Duration.ZERO));
             return;
         }
         if (context.eventLoopLag().overloaded()) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnections.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnections.java
@@ -100,16 +100,22 @@
     }
 
     /** Starts to close each connection after its next response; new requests are still served. */
-    public void startDraining() {
+    void startDraining() {
         draining = true;
     }
 
     /** Starts to reject new requests as not executed and closes connections without a request in progress. */
-    public void rejectNewRequests() {
+    void rejectNewRequests() {
         acceptingRequests = false;
         List.copyOf(connections).forEach(CallerConnection::closeUnlessBusy);
     }
 
+    /** Responds to each caller that waits, since the process is about to end. */
+    void endRequests() {
+        acceptingRequests = false;
+        List.copyOf(connections).forEach(CallerConnection::endRequest);
+    }
+
     /**
      * Returns the number of connections with a request in progress.
      *
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -38,6 +38,7 @@
 import org.coltsfootquay.decision.selection.PromptLocalitySelector;
 import org.coltsfootquay.decision.selection.ServerHealth;
 import org.coltsfootquay.decision.selection.ServerSelector;
+import org.coltsfootquay.decision.shutdown.StopWindow;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.metrics.RouterMetrics;
 
@@ -85,6 +86,7 @@
     private Runnable quarantineNewsListener = () -> {};
     private RoutingConfiguration configuration;
     private boolean registrationsLoaded;
+    private Optional<StopWindow> stopWindow = Optional.empty();
 
     /**
      * Creates the state of a router without a configuration.
@@ -400,6 +402,16 @@
         return crashDetector;
     }
 
+    /** Sets the time at which requests in progress are ended, because the router stops. */
+    void stopAt(StopWindow window) {
+        stopWindow = Optional.of(window);
+    }
+
+    /** Returns the time that is left for requests, empty unless the router stops. */
+    Optional<StopWindow> stopWindow() {
+        return stopWindow;
+    }
+
     AdmissionPolicy admission() {
         return admission;
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -47,30 +47,17 @@
     /** Time beyond the expected latency after which a resumable stream without a response is retried elsewhere. */
     private static final Duration STREAM_TIMEOUT_MARGIN = Duration.ofMillis(1500);
 
-    /** Fraction of the remaining time that the expected latency may take; above it, a request is rejected. */
-    private static final double MAX_EXPECTED_TIME_SHARE = 0.8;
-
     /** Factor on the expected latency after which a first event is overdue; above the usual error of the estimate. */
     private static final double OVERDUE_FACTOR = 1.4;
 
+    private static final String STOPPING = "stopping";
+
     /** Failed attempts to get a connection for a request after which it is rejected. */
     private static final int MAX_ACQUIRE_FAILURES = 4;
 
-    /** Statuses that tell a caller that its request was not executed; passed on only if the server has said so. */
-    private static final Set<HttpResponseStatus> PROMISED_NOT_RUN = Set.of(
-            HttpResponseStatus.REQUEST_TIMEOUT,
-            HttpResponseStatus.TOO_MANY_REQUESTS,
-            HttpResponseStatus.SERVICE_UNAVAILABLE);
-
-    /** Weight of a generated token relative to a prompt token, as in the operator's measure of workspace shares. */
-    private static final double OUTPUT_WEIGHT = 2;
-
     /** Outcome of a request that is rejected because a part of its prompt crashes servers. */
     private static final String QUARANTINED = "quarantined_part";
 
-    /** Workspace of requests on routes without authentication. */
-    private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
-
     private final ForwardingContext context;
     private final CallerResponseWriter caller;
     private final HttpMethod method;
@@ -85,6 +72,7 @@
     private final long deadlineNanos;
     private final RelayLog log;
     private final Reservation reservation;
+    private final RequestAdmission admission;
     private final PromptPartTracker promptParts;
     private final Set<ServerName> triedServers = new HashSet<>();
     private ScheduledTask deadlineTimer;
@@ -129,6 +117,7 @@
         this.arrivalNanos = arrivalNanos;
         this.log = new RelayLog(requestMetadata.requestId(), route, workspace);
         this.reservation = new Reservation(context.loads());
+        this.admission = new RequestAdmission(context, route, service, workspace, requestMetadata.prompt());
         this.promptParts =
                 new PromptPartTracker(context.quarantine(), context.timers(), service.name(), requestMetadata);
         Duration limit = requestMetadata
@@ -141,7 +130,7 @@
     /** Starts to process the request. */
     void start() {
         context.retryShare().recordRequest(service.name(), now());
-        context.demands().recordRequested(service.name(), workspace.orElse(NO_WORKSPACE), weightedTokens(), now());
+        admission.recordRequested();
         long remaining = Math.max(0, deadlineNanos - now() - DEADLINE_MARGIN.toNanos());
         deadlineTimer =
                 context.timers().scheduleOnce("request deadline", Duration.ofNanos(remaining), this::deadlineReached);
@@ -155,6 +144,13 @@
         }
     }
 
+    /** Ends the request because the router is about to end. */
+    void routerStopping() {
+        if (!done) {
+            fail(STOPPING, Duration.ZERO);
+        }
+    }
+
     /** Resumes reading from the server when the caller can receive data again. */
     void callerWritable() {
         if (connection != null) {
@@ -178,10 +174,16 @@
             return;
         }
         selectedServer = choice.get();
-        if (!streaming && !mayHaveExecuted() && !admitted()) {
+        Duration remaining = Duration.ofNanos(Math.max(0, deadlineNanos - now()));
+        if (!streaming && !mayHaveExecuted() && !admission.hasCapacity(selectedServer, waited(), remaining)) {
+            log.notAdmitted(selectedServer);
             fail("no_room", RetryAfter.forQueueTime(selectedServer.queueTime(), route.target()));
             return;
         }
+        if (sends == 0 && !admission.canEndBeforeStop(selectedServer, remaining)) {
+            fail(STOPPING, Duration.ZERO);
+            return;
+        }
         reservation.reserve(selectedServer, requestMetadata.prompt());
         BackendEntry target = selectedServer.entry();
         context.connectionPool().acquire(target, this::send, reason -> connectFailed(target, reason));
@@ -222,33 +224,8 @@
         }
     }
 
-    /** Returns whether the selected server has capacity for the request now. */
-    private boolean admitted() {
-        long waited = now() - arrivalNanos;
-        if (selectedServer.expectedLatency().toNanos() > (deadlineNanos - now()) * MAX_EXPECTED_TIME_SHARE) {
-            return false;
-        }
-        if (service.cacheTokens() == 0 || route.target().isZero()) {
-            return true;
-        }
-        boolean accepted = context.admission()
-                .admits(
-                        workspace.orElse(NO_WORKSPACE),
-                        weightedTokens(),
-                        () -> context.demands().totalDemands(service.name(), now()),
-                        selectedServer.waitTime().plusNanos(waited),
-                        selectedServer.meanWaitTime(),
-                        route.target().minus(selectedServer.constantTime()));
-        if (!accepted) {
-            log.notAdmitted(selectedServer);
-        }
-        return accepted;
-    }
-
-    /** Returns the request size for comparing workspaces: prompt tokens plus weighted maximum output tokens. */
-    private double weightedTokens() {
-        return requestMetadata.prompt().tokens()
-                + OUTPUT_WEIGHT * requestMetadata.prompt().maxOutputTokens();
+    private Duration waited() {
+        return Duration.ofNanos(now() - arrivalNanos);
     }
 
     private void connectFailed(BackendEntry target, String reason) {
@@ -317,7 +294,7 @@
                 reservation, now + (long) (selectedServer.expectedLatency().toNanos() * OVERDUE_FACTOR));
         context.promptSent(target.server(), requestMetadata.prompt(), selectedServer.prefillTokens());
         if (sends == 1) {
-            context.demands().recordDispatched(service.name(), workspace.orElse(NO_WORKSPACE), weightedTokens(), now);
+            admission.recordDispatched();
         }
         Prompt prompt = requestMetadata.prompt();
         log.sent(
@@ -465,15 +442,28 @@
             finish("served", status.code());
             return;
         }
-        boolean notExecuted = responseMetadata.notExecuted() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-        if (notExecuted) {
+        ResponseOutcome outcome = ResponseOutcome.of(status, responseMetadata);
+        if (outcome == ResponseOutcome.NOT_EXECUTED) {
             handleNotExecuted(server, status);
             return;
         }
-        boolean unconfirmedRefusal = PROMISED_NOT_RUN.contains(status);
-        boolean failed = unconfirmedRefusal || status.codeClass() == HttpStatusClass.SERVER_ERROR;
+        boolean failed = outcome != ResponseOutcome.PROCESSED;
+        recordOutcome(server, failed);
+        if (failed && tryAcquireRetry()) {
+            retry("server_error");
+        } else if (streaming) {
+            abortStream("resume_refused");
+        } else if (outcome == ResponseOutcome.UNCONFIRMED_REFUSAL) {
+            sendError(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), "unconfirmed_refusal");
+        } else {
+            caller.sendResponse(status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray());
+            finish("served", status.code());
+        }
+    }
+
+    private void recordOutcome(ServerName server, boolean failed) {
         if (!failed) {
-            if (status.codeClass() == HttpStatusClass.SUCCESS) {
+            if (responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
                 promptParts.responseCompleted();
             }
             context.health().recordResponse(server, true, now());
@@ -484,16 +474,6 @@
             // A server that asked for a pause is not unhealthy.
             context.health().recordResponse(server, false, now());
         }
-        if (failed && tryAcquireRetry()) {
-            retry("server_error");
-        } else if (streaming) {
-            abortStream("resume_refused");
-        } else if (unconfirmedRefusal) {
-            sendError(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), "unconfirmed_refusal");
-        } else {
-            caller.sendResponse(status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray());
-            finish("served", status.code());
-        }
     }
 
     @Override
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -18,6 +18,7 @@
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.forward.CallerConnections;
+import org.coltsfootquay.router.forward.CallerDrain;
 import org.coltsfootquay.router.forward.ForwardingContext;
 import org.coltsfootquay.router.forward.ServerConnectionPool;
 import org.coltsfootquay.router.log.EventLog;
@@ -46,13 +47,6 @@
     /** Maximum number of addresses in one response, a limit of the platform. */
     private static final int MAX_ADDRESSES = 64;
 
-    /** Some callers use addresses for three times their cache time, according to the platform's documentation. */
-    private static final int ADDRESS_OVERUSE_FACTOR = 3;
-
-    /** Time reserved for sending the last bytes of responses before the process ends. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
-
-    private static final Duration STOP_CHECK_PERIOD = Duration.ofMillis(50);
     private static final Duration CLEANUP_PERIOD = Duration.ofSeconds(1);
 
     /** Delay between attempts to register in the store. */
@@ -177,7 +171,8 @@
     /**
      * Starts a graceful shutdown.
      *
-     * @return completes when no request is in progress or the time for the shutdown is over
+     * @return completes when no request is in progress or the time for the shutdown is over; by then each caller has a
+     *     response
      */
     public CompletableFuture<Void> stop() {
         eventLoop.execute(() -> {
@@ -186,24 +181,14 @@
             }
             stopping = true;
             LOG.info("router_stopping", "router", settings.id(), "busy", callers.busyCount());
-            callers.startDraining();
             beaconExchange.send(beaconChannel::send);
-            Duration addressUseTime = settings.addressTime().multipliedBy(ADDRESS_OVERUSE_FACTOR);
-            timers.scheduleOnce("reject new requests", addressUseTime, () -> {
-                callers.rejectNewRequests();
-                timers.schedulePeriodic("stop check", STOP_CHECK_PERIOD, this::stopIfIdle);
-            });
-            timers.scheduleOnce("stop deadline", settings.stopTime().minus(STOP_MARGIN), () -> stopped("deadline"));
+            var unused = new CallerDrain(callers, forwarding)
+                    .start(settings.stopTime(), settings.addressTime())
+                    .thenAccept(this::stopped);
         });
         return stopped;
     }
 
-    private void stopIfIdle() {
-        if (callers.busyCount() == 0) {
-            stopped("quiet");
-        }
-    }
-
     private void stopped(String reason) {
         if (!stopped.isDone()) {
             LOG.info("router_stopped", "router", settings.id(), "reason", reason, "busy", callers.busyCount());
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
@@ -131,6 +132,17 @@
                 .sync();
     }
 
+    /** Starts to drain the connections of callers. */
+    CompletableFuture<String> drain(Duration stopTime, Duration addressTime) {
+        CompletableFuture<String> drained = new CompletableFuture<>();
+        loop.execute(() -> {
+            var unused = new CallerDrain(callers, context)
+                    .start(stopTime, addressTime)
+                    .thenAccept(drained::complete);
+        });
+        return drained;
+    }
+
     /** Blocks the event loop for a time. */
     void blockEventLoop(Duration time) {
         loop.execute(() -> {
