Play parts that crash engines over several routers and in the soak

BeaconExchangeTest sends the news in datagrams. The emulated engine of the soak crashes by a part of a prompt and without one. explain leads from a rejected request to the quarantine and the crashes.

--- a/cli/src/test/java/org/coltsfootquay/cli/explain/RequestStoryTest.java
+++ b/cli/src/test/java/org/coltsfootquay/cli/explain/RequestStoryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -24,6 +25,23 @@
                 RequestStory.of("a4bb", LOG));
     }
 
+    @Test
+    void rejectionForAPartLeadsToTheCrashesBehindIt() {
+        List<String> log = new ArrayList<>(List.of(
+                "event=server_crashed server=i-1 startedMillis=7 requests=2 parts=\"[a1, b2]\"",
+                "event=server_crashed server=i-9 startedMillis=7 requests=1 parts=[]",
+                "event=part_quarantined parts=a1 crashes=3 servers=i-1,i-2,i-3",
+                "event=part_quarantined parts=c3 crashes=3 servers=i-9,i-2,i-3"));
+        for (int i = 0; i < 500; i++) {
+            log.add("event=request_done request=other outcome=served");
+        }
+        log.add("event=request_quarantined request=a4bb parts=a1 crashes=3 settled=true");
+        log.add("event=request_done request=a4bb outcome=quarantined_part status=400");
+        assertEquals(
+                List.of("  " + log.get(0), "  " + log.get(2), "* " + log.get(504), "* " + log.get(505)),
+                RequestStory.of("a4bb", log));
+    }
+
     @Test
     void logWithoutTheRequestHasNoStory() {
         assertTrue(RequestStory.of("a4b", LOG).isEmpty());
--- a/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
@@ -20,6 +20,9 @@
  */
 final class EmulatedEngine implements AutoCloseable {
 
+    /** First part of the prompts that crash the engine. */
+    static final String DEADLY_PART = "deadly";
+
     /** Events of a complete stream. */
     static final int EVENTS = 6;
 
@@ -32,6 +35,7 @@
     private static final int MAX_ARRIVALS_IN_PAUSE = 2;
 
     private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
+    private static final Pattern PARTS = Pattern.compile("(?im)^X-Parts: (\\S+)");
     private static final Pattern RESUME = Pattern.compile("(?im)^X-Resume: (\\d+)");
 
     /** Number of executions by request. */
@@ -39,6 +43,9 @@
 
     final List<String> violations = new CopyOnWriteArrayList<>();
 
+    /** Times at which requests with a part that crashes engines arrived. */
+    final List<Long> deadlyArrivalNanos = new CopyOnWriteArrayList<>();
+
     private final ScriptedServer server;
     private final Random random;
     private final double faultRate;
@@ -62,6 +69,11 @@
         return server.address();
     }
 
+    /** Ends without notice. */
+    void crash() throws IOException {
+        server.crash();
+    }
+
     /** Says in each response from now on that it leaves. */
     synchronized void leave() {
         leaving = true;
@@ -74,6 +86,11 @@
 
     private void respond(String head, OutputStream output, Socket socket) throws IOException {
         String id = find(ID, head);
+        if (find(PARTS, head).startsWith(DEADLY_PART + ",")) {
+            deadlyArrivalNanos.add(System.nanoTime());
+            crash();
+            return;
+        }
         byte[] response;
         boolean close;
         synchronized (this) {
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -19,7 +20,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Plays callers on kept connections against engines that leave, pause, restart and spoil responses.
+ * Plays callers on kept connections against engines that leave, pause, restart, crash and spoil responses, some of them
+ * because of a part of a prompt.
  *
  * <p>A seed determines the faults; their order in time also depends on the threads. The system properties {@code
  * soak.seeds} and {@code soak.seconds} make it longer.
@@ -31,6 +33,16 @@
     private static final int ENGINES = 5;
     private static final int CALLERS = 16;
     private static final double FAULT_RATE = 0.15;
+    private static final double DEADLY_RATE = 0.01;
+
+    /** Crashes by a part that the platform allows until the part is known. */
+    private static final int MAX_DEADLY_CRASHES = 5;
+
+    /** Time in which the part must be known after that many crashes, and requests that may arrive later. */
+    private static final Duration KNOWLEDGE_TIME = Duration.ofSeconds(3);
+
+    private static final int MAX_LATE_DEADLY_REQUESTS = 3;
+    private static final int GROUPS = 8;
     private static final List<String> PATHS = List.of("/once/", "/safe/", "/stream/", "/resume/");
 
     @Test
@@ -87,8 +99,12 @@
                 Thread.sleep(250);
                 // The registration of a leaving engine disappears later than its first notice.
                 int replaced = random.nextInt(ENGINES);
+                if (random.nextInt(4) == 0) {
+                    current.get(replaced).crash();
+                }
                 fixture.removeServer(names.get(replaced));
                 startEngine(replaced);
+                replaceCrashed();
             }
             stopped.set(true);
             for (Future<?> caller : callers) {
@@ -97,6 +113,16 @@
             threads.shutdown();
         }
 
+        /** Starts an engine in place of each one that a request has crashed. */
+        private void replaceCrashed() throws Exception {
+            for (int slot = 0; slot < ENGINES; slot++) {
+                if (!current.get(slot).deadlyArrivalNanos.isEmpty()) {
+                    fixture.removeServer(names.get(slot));
+                    startEngine(slot);
+                }
+            }
+        }
+
         private void sendRequests(String prefix, Random callerRandom) {
             try (KeptConnection connection = new KeptConnection(fixture)) {
                 for (int i = 0; !stopped.get(); i++) {
@@ -105,7 +131,14 @@
                     if (path.equals("/once/") || path.equals("/stream/")) {
                         atMostOnce.add(id);
                     }
-                    checkResponse(path, id, connection.call("POST", path + id, id));
+                    boolean deadly = path.equals("/resume/") && callerRandom.nextDouble() < DEADLY_RATE;
+                    String parts = (deadly ? EmulatedEngine.DEADLY_PART : "group-" + callerRandom.nextInt(GROUPS))
+                            + ",own-" + id;
+                    KeptConnection.Response response = connection.call("POST", path + id, id, parts);
+                    checkResponse(path, id, response);
+                    if (!deadly && response.status() == 400) {
+                        violations.add("DENIED: " + path + id + " got " + response.body());
+                    }
                 }
             } catch (IOException | RuntimeException e) {
                 violations.add("caller " + prefix + " failed: " + e);
@@ -150,6 +183,17 @@
                 violations.addAll(engine.violations);
                 engine.executions.forEach((id, count) -> executions.merge(id, count, Integer::sum));
             }
+            List<Long> deadly = engines.stream()
+                    .flatMap(engine -> engine.deadlyArrivalNanos.stream())
+                    .sorted()
+                    .toList();
+            if (deadly.size() > MAX_DEADLY_CRASHES) {
+                long known = deadly.get(MAX_DEADLY_CRASHES - 1) + KNOWLEDGE_TIME.toNanos();
+                long late = deadly.stream().filter(time -> time - known > 0).count();
+                if (late > MAX_LATE_DEADLY_REQUESTS) {
+                    violations.add("BUDGET: " + late + " requests with a part that crashes engines arrived late");
+                }
+            }
             for (String id : refused) {
                 if (executions.containsKey(id)) {
                     violations.add("REFUSED: " + id + " was executed");
--- a/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
@@ -28,7 +28,7 @@
     record Response(int status, String body, boolean complete) {}
 
     /** Sends a request and reads its response. */
-    Response call(String method, String path, String id) throws IOException {
+    Response call(String method, String path, String id, String parts) throws IOException {
         if (socket == null) {
             socket = fixture.connect();
             input = new BufferedInputStream(socket.getInputStream());
@@ -37,8 +37,8 @@
         StringBuilder body = new StringBuilder();
         try {
             socket.getOutputStream()
-                    .write((method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Key: good\r\nX-Id: " + id
-                                    + "\r\nContent-Length: 0\r\n\r\n")
+                    .write((method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Key: good\r\nX-Parts: " + parts
+                                    + "\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
                             .getBytes(StandardCharsets.US_ASCII));
             while (head.indexOf("\r\n\r\n") < 0) {
                 head.append(readByte());
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -8,12 +9,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.peer.PeerTable;
+import org.coltsfootquay.decision.quarantine.CrashReport;
+import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
@@ -31,6 +36,7 @@
 final class BeaconExchangeTest {
 
     private static final ServerName SERVER = new ServerName("s");
+    private static final PartKey PART = new PartKey(7);
     private static final ServerName OTHER = new ServerName("other");
 
     private final DrivenTimerService timers = new DrivenTimerService(0);
@@ -98,6 +104,49 @@
         assertEquals(ServerLoad.NONE, receiver.forwarding.loads().totalLoad(SERVER));
     }
 
+    @Test
+    void crashesOfSeveralRoutersQuarantineAPart() {
+        sender.exchange.send(sender::capture);
+        sender.crash("s1", 1);
+        sender.crash("s2", 2);
+        receiver.crash("s3", 3);
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        assertTrue(receiver.isQuarantined());
+    }
+
+    @Test
+    void routerThatStartsLearnsAQuarantineFromTheNextBeacon() {
+        for (int i = 0; i < 3; i++) {
+            sender.crash("s" + i, i);
+        }
+        for (int i = 0; i < 10; i++) {
+            sender.exchange.sendUpdate(sender::capture);
+        }
+        sender.datagrams.clear();
+        timers.advance(Duration.ofSeconds(20).toNanos());
+        sender.peers.recordBeacon(receiver.self, true, timers.nowNanos());
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        assertTrue(receiver.isQuarantined());
+    }
+
+    @Test
+    void answerOfOneRouterEndsTheQuarantineOfAnother() {
+        sender.exchange.send(sender::capture);
+        for (int i = 0; i < 3; i++) {
+            sender.crash("s" + i, i);
+        }
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        sender.datagrams.clear();
+        timers.advance(1);
+        sender.forwarding.quarantine().recordAnswer(Set.of(PART), timers.nowNanos());
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        assertFalse(receiver.isQuarantined());
+    }
+
     private final class TestRouter {
 
         private final PeerRouter self;
@@ -126,6 +175,21 @@
                     self, incarnation, List.of(), forwarding, watcher, null, cacheBootstrap, timers, () -> true);
         }
 
+        private void crash(String server, long request) {
+            forwarding
+                    .quarantine()
+                    .recordCrash(
+                            new CrashReport(new ServerName(server), 1, Map.of(PART, new PartKey(request))),
+                            timers.nowNanos());
+        }
+
+        private boolean isQuarantined() {
+            return forwarding
+                    .quarantine()
+                    .check(Set.of(PART), timers.nowNanos())
+                    .isPresent();
+        }
+
         private void capture(byte[] datagram, InetSocketAddress recipient) {
             datagrams.add(datagram);
         }
