Bound the cost of repeating and evaluating crashes

Each router repeated the crashes behind a quarantine in every beacon: about 250 bytes to each of 76 others a second. The interval between two repetitions now grows with the fleet, so that a router receives about ten a second in a fleet of any size, and one that joins still learns them within some tenths of a second. Parts that were answered since a crash are removed from its record.

PartQuarantineTest.quarantineIsRepeatedAtIntervals failed before.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -115,7 +115,7 @@
 
     /** Returns the parts to which crashes are attributed, those with the most crashes first. */
     List<Culprit> culprits(long nowNanos) {
-        removeOld(nowNanos);
+        removeObsolete(nowNanos);
         Set<Incarnation> unexplained = new LinkedHashSet<>(crashes.keySet());
         List<Culprit> culprits = new ArrayList<>();
         Optional<Culprit> next = strongest(unexplained, nowNanos);
@@ -176,10 +176,13 @@
         return answered != null && answered - crashNanos >= 0;
     }
 
-    private void removeOld(long nowNanos) {
-        crashes.values()
-                .forEach(parts -> parts.values()
-                        .removeIf(involvement -> nowNanos - involvement.crashNanos > RETENTION_TIME.toNanos()));
+    /** Removes what no longer counts: old crashes, and parts that were answered since. */
+    private void removeObsolete(long nowNanos) {
+        for (Map<PartKey, Involvement> parts : crashes.values()) {
+            parts.entrySet()
+                    .removeIf(entry -> nowNanos - entry.getValue().crashNanos > RETENTION_TIME.toNanos()
+                            || answeredSince(entry.getKey(), entry.getValue().crashNanos));
+        }
         crashes.values().removeIf(Map::isEmpty);
     }
 
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -51,6 +51,12 @@
     /** Messages in which each piece of news is repeated, since datagrams get lost. */
     private static final int REPETITIONS = 4;
 
+    /**
+     * Time between two repetitions of the crashes behind a quarantine by one router, for each router of the fleet: a
+     * router that joins learns them about this soon from one of the others, and the load does not grow with the fleet.
+     */
+    private static final Duration REPEAT_INTERVAL_PER_ROUTER = Duration.ofMillis(100);
+
     /** Crashes of each culprit that are repeated for routers that join; enough to prove any part. */
     private static final int REPEATED_CRASHES = CrashEvidence.REQUIRED_CRASHES_IN_DOUBT + 3;
 
@@ -66,6 +72,7 @@
     private final Map<PartKey, Outgoing> answersToSend = new LinkedHashMap<>();
     private Set<PartKey> suspects = Set.of();
     private long evaluatedNanos;
+    private long repeatedNanos = Long.MIN_VALUE / 2;
 
     /**
      * Creates a quarantine without parts.
@@ -198,13 +205,16 @@
     /**
      * Returns what the other routers should be told now.
      *
-     * @param all true to repeat the crashes behind each quarantine, for routers that have not received them
+     * @param all true to repeat the crashes behind each quarantine, for routers that have not received them, unless
+     *     this router has done so a short time ago
      * @param nowNanos current time
      * @return news
      */
     public QuarantineNews takeNews(boolean all, long nowNanos) {
         Map<CrashReport, Duration> crashes = new HashMap<>();
-        if (all) {
+        Duration repeatInterval = REPEAT_INTERVAL_PER_ROUTER.multipliedBy(routers.getAsInt());
+        if (all && nowNanos - repeatedNanos >= repeatInterval.toNanos()) {
+            repeatedNanos = nowNanos;
             for (Entry entry : entries.values()) {
                 evidence.crashesOf(entry.culprit, REPEATED_CRASHES)
                         .forEach((report, time) -> crashes.put(report, age(time, nowNanos)));
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/PartQuarantineTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/PartQuarantineTest.java
@@ -85,6 +85,17 @@
         assertTrue(peer.check(REQUEST, now).isPresent());
     }
 
+    @Test
+    void quarantineIsRepeatedAtIntervals() {
+        quarantine();
+        for (int i = 0; i < 10; i++) {
+            router.takeNews(true, now);
+        }
+        assertTrue(router.takeNews(true, now).isEmpty());
+        advance(Duration.ofMillis(200));
+        assertFalse(router.takeNews(true, now).isEmpty());
+    }
+
     @Test
     void answerOfAnotherRouterAcquitsAPart() {
         peer.recordAnswer(Set.of(SOUND), now);
