Stop and start the router in the soak

The router stops as planned every three seconds of a seed and another one starts that knows nothing, with new engines. Callers use their connections until the process is gone; a request that was executed must have had a response.

--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingSoakTest.java
@@ -21,7 +21,7 @@
 
 /**
  * Plays callers on kept connections against engines that leave, pause, restart, crash and spoil responses, some of them
- * because of a part of a prompt.
+ * because of a part of a prompt, while the router stops and starts again.
  *
  * <p>A seed determines the faults; their order in time also depends on the threads. The system properties {@code
  * soak.seeds} and {@code soak.seconds} make it longer.
@@ -43,6 +43,12 @@
 
     private static final int MAX_LATE_DEADLY_REQUESTS = 3;
     private static final int GROUPS = 8;
+
+    /** Steps of half a second after which the router stops. */
+    private static final int RESTART_STEPS = 6;
+
+    private static final Duration STOP_TIME = Duration.ofMillis(1200);
+    private static final Duration ADDRESS_TIME = Duration.ofMillis(100);
     private static final List<String> PATHS = List.of("/once/", "/safe/", "/stream/", "/resume/");
 
     @Test
@@ -59,12 +65,13 @@
 
         private final long seed;
         private final Random random;
-        private final ForwardingFixture fixture = new ForwardingFixture().withConfiguration();
+        private volatile ForwardingFixture fixture = new ForwardingFixture().withConfiguration();
         private final List<EmulatedEngine> engines = new ArrayList<>();
         private final Map<Integer, EmulatedEngine> current = new HashMap<>();
         private final Map<Integer, String> names = new HashMap<>();
         private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
         private final ConcurrentLinkedQueue<String> refused = new ConcurrentLinkedQueue<>();
+        private final ConcurrentLinkedQueue<String> withoutResponse = new ConcurrentLinkedQueue<>();
         private final ConcurrentLinkedQueue<String> atMostOnce = new ConcurrentLinkedQueue<>();
         private final AtomicInteger served = new AtomicInteger();
         private final AtomicBoolean stopped = new AtomicBoolean();
@@ -105,6 +112,9 @@
                 fixture.removeServer(names.get(replaced));
                 startEngine(replaced);
                 replaceCrashed();
+                if (step % RESTART_STEPS == RESTART_STEPS - 1) {
+                    restartRouter();
+                }
             }
             stopped.set(true);
             for (Future<?> caller : callers) {
@@ -113,6 +123,17 @@
             threads.shutdown();
         }
 
+        /** Stops the router as planned and starts another one, which knows nothing, with new engines. */
+        private void restartRouter() throws Exception {
+            ForwardingFixture old = fixture;
+            old.drain(STOP_TIME, ADDRESS_TIME).get();
+            old.close();
+            fixture = new ForwardingFixture().withConfiguration();
+            for (int slot = 0; slot < ENGINES; slot++) {
+                startEngine(slot);
+            }
+        }
+
         /** Starts an engine in place of each one that a request has crashed. */
         private void replaceCrashed() throws Exception {
             for (int slot = 0; slot < ENGINES; slot++) {
@@ -124,7 +145,7 @@
         }
 
         private void sendRequests(String prefix, Random callerRandom) {
-            try (KeptConnection connection = new KeptConnection(fixture)) {
+            try (KeptConnection connection = new KeptConnection(() -> fixture)) {
                 for (int i = 0; !stopped.get(); i++) {
                     String id = prefix + i;
                     String path = PATHS.get(callerRandom.nextInt(PATHS.size()));
@@ -146,6 +167,9 @@
         }
 
         private void checkResponse(String path, String id, KeptConnection.Response response) {
+            if (response.status() == 0) {
+                withoutResponse.add(id);
+            }
             if (response.status() == 503) {
                 refused.add(id);
             }
@@ -194,6 +218,11 @@
                     violations.add("BUDGET: " + late + " requests with a part that crashes engines arrived late");
                 }
             }
+            for (String id : withoutResponse) {
+                if (executions.containsKey(id)) {
+                    violations.add("LOST: " + id + " was executed and its caller got no response");
+                }
+            }
             for (String id : refused) {
                 if (executions.containsKey(id)) {
                     violations.add("REFUSED: " + id + " was executed");
--- a/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
@@ -3,19 +3,21 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.Supplier;
 
 /** Caller that sends one request after the other and uses a connection until the router closes it. */
 final class KeptConnection implements AutoCloseable {
 
-    private final ForwardingFixture fixture;
+    private final Supplier<ForwardingFixture> router;
     private Socket socket;
     private InputStream input;
 
-    KeptConnection(ForwardingFixture fixture) {
-        this.fixture = fixture;
+    KeptConnection(Supplier<ForwardingFixture> router) {
+        this.router = router;
     }
 
     /**
@@ -30,7 +32,11 @@
     /** Sends a request and reads its response. */
     Response call(String method, String path, String id, String parts) throws IOException {
         if (socket == null) {
-            socket = fixture.connect();
+            try {
+                socket = router.get().connect();
+            } catch (ConnectException e) {
+                return new Response(0, "", false);
+            }
             input = new BufferedInputStream(socket.getInputStream());
         }
         StringBuilder head = new StringBuilder();
