Keep the time of the first report of a crash

A report that is read late, by a router that was frozen or from a full socket, carries its age of the time when it was sent, so the crash seemed to come after an answer that had acquitted the part. The first report now sets the time, and a part that was answered stays in the record while reports are repeated.

CrashEvidenceTest.reportThatIsReadLateDoesNotUndoAnAnswer: the code before took the later time.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -43,6 +43,9 @@
     /** Time for which a crash counts; several times the longest quarantine, so that trials renew the evidence. */
     static final Duration RETENTION_TIME = Duration.ofHours(1);
 
+    /** Time in which reports of a crash may still arrive; one about an answered part must not start anew. */
+    private static final Duration REPETITION_TIME = Duration.ofMinutes(1);
+
     private static final int MAX_CRASHES = 256;
     private static final int MAX_PARTS_PER_CRASH = 64;
     private static final int MAX_ANSWERED_PARTS = 8192;
@@ -74,7 +77,7 @@
                 parts.put(entry.getKey(), involvement);
                 changed = true;
             }
-            changed |= involvement.add(entry.getValue(), crashNanos);
+            changed |= involvement.add(entry.getValue());
         }
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
@@ -179,9 +182,11 @@
     /** Removes what no longer counts: old crashes, and parts that were answered since. */
     private void removeObsolete(long nowNanos) {
         for (Map<PartKey, Involvement> parts : crashes.values()) {
-            parts.entrySet()
-                    .removeIf(entry -> nowNanos - entry.getValue().crashNanos > RETENTION_TIME.toNanos()
-                            || answeredSince(entry.getKey(), entry.getValue().crashNanos));
+            parts.entrySet().removeIf(entry -> {
+                long age = nowNanos - entry.getValue().crashNanos;
+                boolean answered = answeredSince(entry.getKey(), entry.getValue().crashNanos);
+                return age > (answered ? REPETITION_TIME : RETENTION_TIME).toNanos();
+            });
         }
         crashes.values().removeIf(Map::isEmpty);
     }
@@ -211,17 +216,16 @@
     private static final class Involvement {
 
         private final Set<PartKey> requests = new LinkedHashSet<>();
-        private long crashNanos;
+
+        /** Time of the crash by the first report; a report that is read late makes the crash seem later. */
+        private final long crashNanos;
 
         private Involvement(long crashNanos) {
             this.crashNanos = crashNanos;
         }
 
         /** Adds a request with the part; returns false if it is known or enough others are. */
-        private boolean add(PartKey request, long nanos) {
-            if (nanos - crashNanos > 0) {
-                crashNanos = nanos;
-            }
+        private boolean add(PartKey request) {
             return requests.size() < REQUIRED_REQUESTS && requests.add(request);
         }
     }
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/CrashEvidenceTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/CrashEvidenceTest.java
@@ -47,6 +47,22 @@
         assertEquals(List.of(keys(DEADLY)), culprits());
     }
 
+    /** A router that was frozen reads old datagrams with the ages of the time when they were sent. */
+    @Test
+    void reportThatIsReadLateDoesNotUndoAnAnswer() {
+        for (int i = 0; i < 3; i++) {
+            evidence.addCrash(report(new ServerName("late" + i), 1, i, SOUND), now);
+        }
+        now++;
+        answer(SOUND);
+        culprits();
+        now += 3 * SECOND;
+        for (int i = 0; i < 3; i++) {
+            evidence.addCrash(report(new ServerName("late" + i), 1, i, SOUND), now);
+        }
+        assertEquals(Set.of(), evidence.suspects());
+    }
+
     @Test
     void answerBeforeACrashDelaysTheProof() {
         answer(SOUND);
