--- a/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -14,7 +14,7 @@
 /** Relation of one request to the quarantine of prompt parts, over all servers that it is sent to. */
 final class PromptPartTracker {
 
-    /** Time after its first event for which a server must continue to be known not to crash by a prompt. */
+    /** Time after the first event in which a server crashes, if the prompt makes it crash. */
     private static final Duration CONFIRMATION_TIME = Duration.ofMillis(250);
 
     private final PartQuarantine quarantine;
--- a/router/src/test/java/org/coltsfootquay/router/forward/CrashingPromptPartTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/CrashingPromptPartTest.java
@@ -24,7 +24,7 @@
 
     private static final int ENGINES = 8;
 
-    /** Crashes that prove a part; the same number as without any router restart in between. */
+    /** Crashes after which a part is quarantined. */
     private static final int CRASHES_UNTIL_PROOF = 3;
 
     private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
