--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -25,10 +25,16 @@
 
     /** Writes a configuration with one service {@code app} and one public route {@code /app/}. */
     void configure(String kind, int timeoutMillis, int maxAttempts) {
+        configure(kind, timeoutMillis, maxAttempts, 7, "/app/");
+    }
+
+    void configure(String kind, int timeoutMillis, int maxAttempts, int version, String prefix) {
         store.put(
                 "op",
                 "config",
-                "{\"Version\":7,\"Routes\":[{\"Name\":\"r-app\",\"Host\":\"app.example\",\"Prefix\":\"/app/\",\"Kind\":\""
+                "{\"Version\":" + version
+                        + ",\"Routes\":[{\"Name\":\"r-app\",\"Host\":\"app.example\",\"Prefix\":\"" + prefix
+                        + "\",\"Kind\":\""
                         + kind + "\",\"TimeoutMs\":" + timeoutMillis
                         + ",\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"app\",\"MaxAttempts\":" + maxAttempts
                         + ",\"Public\":true,\"SessionAffinity\":false,\"StreamResume\":false}],"
@@ -42,6 +48,14 @@
         return new Router(root, folder, name, host, store.address());
     }
 
+    /** Returns router number 1 to 50 of several, each with a host address of its own. */
+    Router router(int number) throws IOException {
+        String network = host.substring(0, host.indexOf('.', 4));
+        int third = Integer.parseInt(host.split("\\.")[2]);
+        String ownHost = network + "." + third + "." + (1 + (Integer.parseInt(host.split("\\.")[3]) + number * 5) % 254);
+        return new Router(root, folder, "front-" + number, ownHost, store.address());
+    }
+
     /** Ends the run with the exit code of the case. */
     void finish(boolean broken, String verdict) {
         journal.write("verdict", (broken ? "rule broken: " : "rule held: ") + verdict);
