--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -28,7 +28,17 @@
         configure(kind, timeoutMillis, maxAttempts, 7, "/app/");
     }
 
+    /** Writes a configuration like {@link #configure} whose route carries streams that may be resumed. */
+    void configureResumableStreams(int timeoutMillis) {
+        configure("streaming", timeoutMillis, 2, 7, "/app/", true);
+    }
+
     void configure(String kind, int timeoutMillis, int maxAttempts, int version, String prefix) {
+        configure(kind, timeoutMillis, maxAttempts, version, prefix, false);
+    }
+
+    private void configure(
+            String kind, int timeoutMillis, int maxAttempts, int version, String prefix, boolean resumable) {
         store.put(
                 "op",
                 "config",
@@ -37,7 +47,7 @@
                         + "\",\"Kind\":\""
                         + kind + "\",\"TimeoutMs\":" + timeoutMillis
                         + ",\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"app\",\"MaxAttempts\":" + maxAttempts
-                        + ",\"Public\":true,\"SessionAffinity\":false,\"StreamResume\":false}],"
+                        + ",\"Public\":true,\"SessionAffinity\":false,\"StreamResume\":" + resumable + "}],"
                         + "\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/healthz\",\"MaxConnections\":100,"
                         + "\"Protocol\":\"h1\",\"Tls\":false,\"ColdS\":0.0,\"ColdPerS\":0.0}],"
                         + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
