--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" StreamCutInsideEvent
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -54,6 +54,31 @@
                         + "\"IdleTimeoutMs\":15000},\"Tenants\":[]}");
     }
 
+    /** Writes a configuration with a public route {@code /NAME/} for each service, given as name, kind and timeout. */
+    void configureRoutes(String[]... services) {
+        StringBuilder routes = new StringBuilder();
+        StringBuilder policies = new StringBuilder();
+        for (String[] service : services) {
+            String comma = routes.length() == 0 ? "" : ",";
+            routes.append(comma)
+                    .append("{\"Name\":\"r-" + service[0] + "\",\"Host\":\"app.example\",\"Prefix\":\"/"
+                            + service[0] + "/\",\"Kind\":\"" + service[1] + "\",\"TimeoutMs\":" + service[2]
+                            + ",\"TargetLatencyMs\":800,\"Priority\":1,\"Service\":\"" + service[0]
+                            + "\",\"MaxAttempts\":1,\"Public\":true,\"SessionAffinity\":false,"
+                            + "\"StreamResume\":false}");
+            policies.append(comma)
+                    .append("{\"Name\":\"" + service[0] + "\",\"HealthPath\":\"/healthz\","
+                            + "\"MaxConnections\":360,\"Protocol\":\"h1\",\"Tls\":false,\"ColdS\":0.0,"
+                            + "\"ColdPerS\":0.0}");
+        }
+        store.put(
+                "op",
+                "config",
+                "{\"Version\":7,\"Routes\":[" + routes + "],\"Services\":[" + policies
+                        + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
+                        + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[]}");
+    }
+
     Router router(String name) throws IOException {
         return new Router(root, folder, name, host, store.address());
     }
