--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")"
 rm -rf target/classes
 mkdir -p target/classes
+cp standins/wire.properties target/classes
 javac -Xlint:all -Xlint:-serial -proc:none -cp ../platform/target/coltsfootquay-node.jar -d target/classes standins/*.java
--- a/review/standins/AnswerResetDuringUpload.java
+++ b/review/standins/AnswerResetDuringUpload.java
@@ -53,7 +53,7 @@
     private static boolean answer(
             HttpMessage request, InputStream in, OutputStream out, Socket connection, Deployment deployment)
             throws IOException {
-        String id = request.header("Coltsfootquay-Request-Id");
+        String id = request.header(Wire.REQUEST_ID);
         byte[] answer = new byte[ANSWER_BYTES];
         Arrays.fill(answer, (byte) 'x');
         deployment.journal.write("engine", "runs " + id + ", answers without a length");
@@ -79,8 +79,8 @@
             socket.connect(new InetSocketAddress(router.host, router.callerPort));
             socket.setSoTimeout(DEADLINE_MILLIS);
             OutputStream out = socket.getOutputStream();
-            out.write(Engine.bytes("POST /app/order HTTP/1.1\r\nHost: app.example\r\nColtsfootquay-Request-Id: " + id
-                    + "\r\nColtsfootquay-Deadline-Ms: " + DEADLINE_MILLIS + "\r\nContent-Length: " + BODY_BYTES
+            out.write(Engine.bytes("POST /app/order HTTP/1.1\r\nHost: app.example\r\n" + Wire.REQUEST_ID + ": " + id
+                    + "\r\n" + Wire.DEADLINE + ": " + DEADLINE_MILLIS + "\r\nContent-Length: " + BODY_BYTES
                     + "\r\n\r\n"));
             out.write(new byte[BODY_BYTES]);
             journal.write(id, "sent with a body of " + BODY_BYTES + " bytes");
--- a/review/standins/CrashingPart.java
+++ b/review/standins/CrashingPart.java
@@ -40,7 +40,7 @@
     }
 
     private synchronized boolean isDeadly(HttpMessage request) {
-        boolean deadly = request.header("Coltsfootquay-Prefix-Hash").contains(DEADLY_PART);
+        boolean deadly = request.header(Wire.PROMPT_PARTS).contains(DEADLY_PART);
         if (deadly) {
             arrivalNanos.add(System.nanoTime());
         }
--- a/review/standins/EndlessBodies.java
+++ b/review/standins/EndlessBodies.java
@@ -94,7 +94,7 @@
     private boolean serveApp(HttpMessage request, InputStream in, OutputStream out, Socket connection)
             throws IOException {
         request.readBody(in);
-        passedOn.add(request.header("Coltsfootquay-Request-Id"));
+        passedOn.add(request.header(Wire.REQUEST_ID));
         Threads.sleep(20);
         out.write(Engine.bytes(Engine.head(200, request, "Content-Length: 5\r\n") + "hello"));
         return true;
@@ -105,8 +105,8 @@
             socket.connect(new InetSocketAddress(router.host, router.callerPort), 1000);
             socket.setSoTimeout(BAD_TIMEOUT_MILLIS + 2000);
             socket.getOutputStream()
-                    .write(Engine.bytes("POST /model/2f HTTP/1.1\r\nHost: app.example\r\nColtsfootquay-Request-Id: " + id
-                            + "\r\nColtsfootquay-Deadline-Ms: " + BAD_TIMEOUT_MILLIS
+                    .write(Engine.bytes("POST /model/2f HTTP/1.1\r\nHost: app.example\r\n" + Wire.REQUEST_ID + ": " + id
+                            + "\r\n" + Wire.DEADLINE + ": " + BAD_TIMEOUT_MILLIS
                             + "\r\nContent-Length: 2\r\n\r\nhi"));
             InputStream in = socket.getInputStream();
             byte[] buffer = new byte[8192];
@@ -140,8 +140,8 @@
     private boolean exchange(Socket socket, InputStream in, String id, boolean kept) throws IOException {
         long start = System.nanoTime();
         socket.getOutputStream()
-                .write(Engine.bytes("POST /app/order HTTP/1.1\r\nHost: app.example\r\nColtsfootquay-Request-Id: " + id
-                        + "\r\nColtsfootquay-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nhi"));
+                .write(Engine.bytes("POST /app/order HTTP/1.1\r\nHost: app.example\r\n" + Wire.REQUEST_ID + ": " + id
+                        + "\r\n" + Wire.DEADLINE + ": 1500\r\nContent-Length: 2\r\n\r\nhi"));
         try {
             HttpMessage response = HttpMessage.readHead(in);
             if (response != null) {
--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -62,8 +62,8 @@
 
     /** Returns the head of a response with the headers that every server sends. */
     static String head(int status, HttpMessage request, String framing) {
-        return "HTTP/1.1 " + status + " X\r\nColtsfootquay-Request-Id: " + request.header("Coltsfootquay-Request-Id")
-                + "\r\nColtsfootquay-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" + framing + "\r\n";
+        return "HTTP/1.1 " + status + " X\r\n" + Wire.REQUEST_ID + ": " + request.header(Wire.REQUEST_ID)
+                + "\r\n" + Wire.SIGNATURE + ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n" + framing + "\r\n";
     }
 
     static byte[] bytes(String text) {
--- a/review/standins/ModelFleet.java
+++ b/review/standins/ModelFleet.java
@@ -43,7 +43,7 @@
         StringBuilder tenants = new StringBuilder();
         for (int i = 0; i < tenantCount; i++) {
             tenants.append(i == 0 ? "" : ",")
-                    .append("{\"Name\":\"" + tenant(i) + "\",\"ApiKeys\":[\"" + key(i) + "\"],\"Priority\":1}");
+                    .append("{\"Name\":\"" + tenant(i) + "\",\"" + Wire.API_KEYS + "\":[\"" + key(i) + "\"],\"Priority\":1}");
         }
         String routes = "";
         String services = "";
@@ -55,7 +55,7 @@
                     + "\"StreamResume\":false,\"TargetItlMs\":500}";
             services += comma + "{\"Name\":\"" + service + "\",\"HealthPath\":\"/healthz\",\"MaxConnections\":360,"
                     + "\"Protocol\":\"h1\",\"Tls\":false,\"ColdS\":0.0,\"ColdPerS\":0.0,"
-                    + "\"Engine\":{\"Slots\":64,\"KvCacheTokens\":501633,\"Models\":[{\"Name\":\"m\"}]}}";
+                    + "\"Engine\":{\"Slots\":64,\"" + Wire.CACHE_TOKENS + "\":501633,\"Models\":[{\"Name\":\"m\"}]}}";
         }
         deployment.store.put(
                 "op",
@@ -80,9 +80,9 @@
             socket.setSoTimeout(7000);
             socket.getOutputStream()
                     .write(Engine.bytes("POST /" + service + "/2f HTTP/1.1\r\nHost: app.example\r\n"
-                            + "Coltsfootquay-Request-Id: " + id + "\r\nColtsfootquay-Deadline-Ms: 6000\r\n"
-                            + "Coltsfootquay-Key: " + key(tenant) + "\r\nColtsfootquay-Model: m\r\n"
-                            + "Coltsfootquay-Token-Usage: 1450,80\r\nColtsfootquay-Prefix-Hash: " + parts
+                            + Wire.REQUEST_ID + ": " + id + "\r\n" + Wire.DEADLINE + ": 6000\r\n"
+                            + Wire.KEY + ": " + key(tenant) + "\r\n" + Wire.MODEL + ": m\r\n"
+                            + Wire.TOKENS + ": 1450,80\r\n" + Wire.PROMPT_PARTS + ": " + parts
                             + "\r\nContent-Length: 2\r\n\r\nhi"));
             InputStream in = new BufferedInputStream(socket.getInputStream());
             HttpMessage response = HttpMessage.readHead(in);
@@ -155,7 +155,7 @@
                     request.readBody(in);
                     boolean deadly = crashes.test(request);
                     if (deadly) {
-                        deployment.journal.write(id, "gets " + request.header("Coltsfootquay-Request-Id"));
+                        deployment.journal.write(id, "gets " + request.header(Wire.REQUEST_ID));
                     }
                     Threads.sleep(prefillMillis);
                     out.write(Engine.bytes(Engine.head(
--- a/review/standins/Router.java
+++ b/review/standins/Router.java
@@ -71,7 +71,7 @@
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         folder.resolve(settings.getFileName() + ".log").toFile()));
-        builder.environment().put("COLTSFOOTQUAY_BOOT", settings.toString());
+        builder.environment().put(Wire.SETTINGS_VARIABLE, settings.toString());
         process = builder.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         Files.writeString(
--- a/review/standins/StoreStandIn.java
+++ b/review/standins/StoreStandIn.java
@@ -74,13 +74,7 @@
                 byte[] body = request.readBody(in);
                 Map<String, String> query = query(request.target());
                 String path = request.target().split("\\?")[0];
-                ObjectNode reply =
-                        switch (path) {
-                            case "/v1/rows-get" -> read(query);
-                            case "/v1/rows-feed" -> feed(query);
-                            case "/v1/rows-tx" -> commit(mapper.readTree(body));
-                            default -> throw new IOException("no such call: " + path);
-                        };
+                ObjectNode reply = answer(path, query, body);
                 int status = reply.has("status") ? reply.remove("status").asInt() : 200;
                 byte[] bytes = mapper.writeValueAsBytes(reply);
                 String head = "HTTP/1.1 " + status + " X\r\nContent-Type: application/json\r\nContent-Length: "
@@ -91,8 +85,21 @@
         }
     }
 
+    private ObjectNode answer(String path, Map<String, String> query, byte[] body) throws IOException {
+        if (path.equals(Wire.STORE_READ)) {
+            return read(query);
+        }
+        if (path.equals(Wire.STORE_FEED)) {
+            return feed(query);
+        }
+        if (path.equals(Wire.STORE_COMMIT)) {
+            return commit(mapper.readTree(body));
+        }
+        throw new IOException("no such call: " + path);
+    }
+
     private synchronized ObjectNode read(Map<String, String> query) {
-        String from = query.getOrDefault("RangeStart", "");
+        String from = query.getOrDefault(Wire.RANGE_START, "");
         ObjectNode reply = reply();
         ArrayNode rows = reply.putArray("Rows");
         tables.getOrDefault(query.get("Table"), new TreeMap<>()).tailMap(from, true).values().forEach(row ->
@@ -123,7 +130,7 @@
     }
 
     private synchronized ObjectNode commit(JsonNode transaction) {
-        for (JsonNode expected : transaction.path("ExpectedRev")) {
+        for (JsonNode expected : transaction.path(Wire.EXPECTED_ROWS)) {
             Row row = tables.getOrDefault(expected.path("Table").asText(), new TreeMap<>())
                     .get(expected.path("Key").asText());
             if ((row == null ? 0 : row.version()) != expected.path("Ver").asLong()) {
--- a/review/standins/StreamCutInsideEvent.java
+++ b/review/standins/StreamCutInsideEvent.java
@@ -69,7 +69,7 @@
             AtomicInteger answers)
             throws IOException {
         request.readBody(in);
-        String id = request.header("Coltsfootquay-Request-Id");
+        String id = request.header(Wire.REQUEST_ID);
         String last = request.header("Last-Event-Id");
         deployment.journal.write(engine, "runs " + id + (last.isEmpty() ? "" : " from event " + last));
         boolean spoiled = deployment.trouble && answers.incrementAndGet() > 0 && answers.get() % SPOILED_INTERVAL == 0;
@@ -95,8 +95,8 @@
             socket.connect(new InetSocketAddress(router.host, router.callerPort));
             socket.setSoTimeout(DEADLINE_MILLIS);
             socket.getOutputStream()
-                    .write(Engine.bytes("POST /app/2f HTTP/1.1\r\nHost: app.example\r\nColtsfootquay-Request-Id: " + id
-                            + "\r\nColtsfootquay-Deadline-Ms: " + DEADLINE_MILLIS + "\r\nContent-Length: 2\r\n\r\nhi"));
+                    .write(Engine.bytes("POST /app/2f HTTP/1.1\r\nHost: app.example\r\n" + Wire.REQUEST_ID + ": " + id
+                            + "\r\n" + Wire.DEADLINE + ": " + DEADLINE_MILLIS + "\r\nContent-Length: 2\r\n\r\nhi"));
             InputStream in = new BufferedInputStream(socket.getInputStream());
             HttpMessage response = HttpMessage.readHead(in);
             if (response == null || response.status() != 200) {
