End the review's processes on every way out and make the control strict

With TROUBLE=0 a script exits with 2 unless nearly all requests are served, and with 2 if a router has ended; before, a case held although its router had been killed.

Measured: each case once with the disruption (broken) and once with TROUBLE=0 (held); no process left after TERM, INT, HUP, QUIT or KILL of run.sh, KILL of the stand-in program, KILL of the router (on case 5).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,4 @@
 #!/bin/bash
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" CrashingPart
+# TROUBLE=0 runs the case without the disruption. run-case.sh sets the traps that end all processes on every way out.
+case_folder=$(dirname "$0")
+. "$case_folder/../run-case.sh" "$case_folder" CrashingPart
--- a/review/standins/AllEnginesCrash.java
+++ b/review/standins/AllEnginesCrash.java
@@ -57,6 +57,7 @@
             System.exit(2);
         }
         new TreeMap<>(answers).forEach((answer, count) -> journal.write("answers", count + " x " + answer));
+        deployment.requireServed(answers.getOrDefault("200", new AtomicInteger()).get(), requests.get());
         double permitted = 5 + requests.get() / 500.0;
         deployment.finish(
                 denied.get() > permitted,
--- a/review/standins/CrashingPart.java
+++ b/review/standins/CrashingPart.java
@@ -87,6 +87,12 @@
         }
         Threads.sleep(1000);
         new TreeMap<>(answers).forEach((answer, count) -> journal.write("sound", count + " x " + answer));
+        int served = answers.entrySet().stream()
+                .filter(entry -> entry.getKey().endsWith(" 200"))
+                .mapToInt(entry -> entry.getValue().get())
+                .sum();
+        int answered = answers.values().stream().mapToInt(AtomicInteger::get).sum();
+        deployment.requireServed(served, answered);
         for (Router router : routers) {
             if (!router.alive()) {
                 System.out.println("a router has ended");
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Folders, addresses and the configuration of the operator for one case. */
 final class Deployment {
@@ -12,6 +14,7 @@
     final Journal journal;
     final StoreStandIn store;
     final String host;
+    private final List<Router> routers = new ArrayList<>();
 
     /** Reads the arguments that run.sh passes: root of the repository, folder of the case, temporary folder. */
     Deployment(String[] arguments) throws IOException {
@@ -27,6 +30,14 @@
             System.out.println("the case did not end in time");
             System.exit(2);
         });
+        // The routers end with this program, also if the script that started it is killed.
+        ProcessHandle script = ProcessHandle.current().parent().orElseThrow();
+        Threads.start("script watch", () -> {
+            while (script.isAlive()) {
+                Threads.sleep(500);
+            }
+            System.exit(2);
+        });
         journal.write("case", trouble ? "with the disruption" : "without the disruption");
     }
 
@@ -73,7 +84,12 @@
     }
 
     Router router(String name) throws IOException {
-        return new Router(root, folder, name, host, store.address());
+        return remember(new Router(root, folder, name, host, store.address()));
+    }
+
+    private Router remember(Router router) {
+        routers.add(router);
+        return router;
     }
 
     /** Returns router number 1 to 50 of several, each with a host address of its own. */
@@ -81,11 +97,23 @@
         String network = host.substring(0, host.indexOf('.', 4));
         int third = Integer.parseInt(host.split("\\.")[2]);
         String ownHost = network + "." + third + "." + (1 + (Integer.parseInt(host.split("\\.")[3]) + number * 5) % 254);
-        return new Router(root, folder, "front-" + number, ownHost, store.address());
+        return remember(new Router(root, folder, "front-" + number, ownHost, store.address()));
+    }
+
+    /** Ends the run as not possible unless, without the disruption, nearly all requests were served. */
+    void requireServed(int served, int sent) {
+        if (!trouble && (sent == 0 || served < sent * 0.95)) {
+            System.out.println("only " + served + " of " + sent + " requests were served without the disruption");
+            System.exit(2);
+        }
     }
 
     /** Ends the run with exit code 10 if the rule held and 11 if it was broken. */
     void finish(boolean broken, String verdict) {
+        if (!broken && !routers.stream().allMatch(Router::alive)) {
+            System.out.println("a router has ended");
+            System.exit(2);
+        }
         journal.write("verdict", (broken ? "rule broken: " : "rule held: ") + verdict);
         System.out.println((broken ? "rule broken: " : "rule held: ") + verdict);
         System.exit(broken ? 11 : 10);
--- a/review/standins/EndlessBodies.java
+++ b/review/standins/EndlessBodies.java
@@ -58,6 +58,7 @@
             Threads.sleep(1000 / RATE);
         }
         journal.write("router", router.alive() ? "runs, ready " + router.ready() : "has ended");
+        deployment.requireServed(served.get(), served.get() + timedOut.get());
         boolean endedByItself = !router.alive();
         boolean answersLate = timedOut.get() >= 8 && late.get() * 2 > timedOut.get();
         deployment.finish(
