Treat a stream that ends within an event as broken, whatever its framing

Callers saw: a chunked stream that an engine stopped inside an event ended as complete, with a part of that event. Cause: RequestRelay.responseCompleted looked at the last event only if the body ended with the connection. Why this works: the question whether the last event is whole is now asked before and independently of the framing, and a negative answer takes the path of a broken stream, which resumes or closes. A body that is declared as something else than server-sent events has no events and is passed on whole.

--- a/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
@@ -55,6 +55,24 @@
         return length;
     }
 
+    /**
+     * Returns whether the bytes after the last complete event begin another one. Empty lines and comments do not belong
+     * to an event.
+     */
+    boolean withinEvent() {
+        boolean lineStart = true;
+        boolean comment = false;
+        for (int i = 0; i < length; i++) {
+            boolean lineEnd = buffer[i] == '\n' || buffer[i] == '\r';
+            comment = lineStart ? buffer[i] == ':' : comment && !lineEnd;
+            if (!lineEnd && !comment) {
+                return true;
+            }
+            lineStart = lineEnd;
+        }
+        return false;
+    }
+
     /** Returns and discards the bytes after the last complete event. */
     byte[] takeIncomplete() {
         byte[] incomplete = Arrays.copyOf(buffer, length);
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -52,6 +52,8 @@
 
     private static final String STOPPING = "stopping";
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     /** Failed attempts to get a connection for a request after which it is rejected. */
     private static final int MAX_ACQUIRE_FAILURES = 4;
 
@@ -401,12 +403,12 @@
     public void responseCompleted() {
         connection = null;
         cancelResponseTimer();
-        if (!HeaderUtils.endsWithConnection(responseHead)) {
-            handleCompleteResponse();
+        if (succeeding() && mayContainEvents() && eventSplitter.withinEvent()) {
+            responseFailed("truncated_event");
             return;
         }
-        if (succeeding() && eventSplitter.incompleteBytes() > 0) {
-            responseFailed("truncated_event");
+        if (!HeaderUtils.endsWithConnection(responseHead)) {
+            handleCompleteResponse();
             return;
         }
         // The end of the connection completes the response, unless the server has crashed.
@@ -427,6 +429,11 @@
         return streaming && responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
+    /** Returns whether the stream of the caller is not declared as anything but server-sent events. */
+    private boolean mayContainEvents() {
+        return streamMediaType.isEmpty() || streamMediaType.equals(EVENT_STREAM);
+    }
+
     private void handleCompleteResponse() {
         ServerName server = selectedServer.entry().server();
         HttpResponseStatus status = responseHead.status();
--- a/router/src/test/java/org/coltsfootquay/router/forward/ResponseEndTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ResponseEndTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -132,6 +133,89 @@
         assertFalse(response.endsWith(LAST_CHUNK), response);
     }
 
+    /** A server that stops within an event may end the body in order; such a stream looked complete. */
+    @Test
+    void streamThatEndsWithinAnEventIsResumed() throws Exception {
+        for (Framing framing : Framing.values()) {
+            ScriptedServer.Script script = (head, output, socket) ->
+                    framing.write(head, head.contains("X-Resume: 2") ? THIRD_EVENT : TWO_EVENTS + "id: 3\nda", output);
+            fixture.serve(script);
+            fixture.serve(script);
+            assertStream(TWO_EVENTS + THIRD_EVENT, fixture.call("POST", "/resume/" + framing, "id-" + framing));
+            restart();
+        }
+    }
+
+    @Test
+    void streamThatEndsBeforeTheEmptyLineOfAnEventIsNotComplete() throws Exception {
+        for (Framing framing : Framing.values()) {
+            fixture.serve((head, output, socket) -> framing.write(head, TWO_EVENTS + "id: 3\ndata: c\n", output));
+            String response = fixture.call("POST", "/stream/" + framing, "id-" + framing);
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertFalse(response.endsWith(LAST_CHUNK), framing + ": " + response);
+            restart();
+        }
+    }
+
+    @Test
+    void resumptionThatEndsWithinAnEventIsNotComplete() throws Exception {
+        for (Framing framing : Framing.values()) {
+            ScriptedServer.Script script = (head, output, socket) ->
+                    framing.write(head, head.contains("X-Resume: 2") ? "id: 3\nda" : TWO_EVENTS + "id: 3", output);
+            fixture.serve(script);
+            fixture.serve(script);
+            String response = fixture.call("POST", "/resume/" + framing, "id-" + framing);
+            assertFalse(response.endsWith(LAST_CHUNK), framing + ": " + response);
+            restart();
+        }
+    }
+
+    @Test
+    void streamThatEndsWithEmptyLinesIsComplete() throws Exception {
+        for (Framing framing : Framing.values()) {
+            fixture.serve((head, output, socket) -> framing.write(head, TWO_EVENTS + "\n", output));
+            String response = fixture.call("POST", "/stream/" + framing, "id-" + framing);
+            assertTrue(response.endsWith(LAST_CHUNK), framing + ": " + response);
+            restart();
+        }
+    }
+
+    /** Only an event stream has events that may be incomplete. */
+    @Test
+    void plainTextOnARouteOfStreamsIsPassedOnWhole() throws Exception {
+        fixture.serve((head, output, socket) -> output.write(ScriptedServer.ascii(
+                head(head, "HTTP/1.1 200 X", "Content-Type: text/plain\r\nContent-Length: 5\r\n") + "whole")));
+        String response = fixture.call("POST", "/stream/a", "id-1");
+        assertTrue(response.contains("whole") && response.endsWith(LAST_CHUNK), response);
+    }
+
+    /** Ways in which a server marks the end of a body. */
+    private enum Framing {
+        CHUNKED,
+        LENGTH,
+        CONNECTION;
+
+        private void write(String request, String events, OutputStream output) throws IOException {
+            String headers = switch (this) {
+                case CHUNKED -> "Transfer-Encoding: chunked\r\n";
+                case LENGTH -> "Content-Length: " + events.length() + "\r\n";
+                case CONNECTION -> "";
+            };
+            String body = this == CHUNKED
+                    ? Integer.toHexString(events.length()) + "\r\n" + events + "\r\n" + LAST_CHUNK
+                    : events;
+            output.write(ScriptedServer.ascii(head(request, "HTTP/1.1 200 X", STREAM + headers) + body));
+            if (this == CONNECTION) {
+                output.close();
+            }
+        }
+    }
+
+    private void restart() throws Exception {
+        stop();
+        start();
+    }
+
     /** Starts a server that sends a body and crashes, unless it gets a resumption, which it completes. */
     private void serveThenCrash(String headers, String body) throws Exception {
         List<ScriptedServer> self = new ArrayList<>();
