Take a body without a length for complete only after an orderly end of the connection

Callers saw: 200 with the digest of the engine and a part of the body, if the connection was reset while the request was still being sent. Cause: the pending write found the reset, Netty closed the channel without an exception, and the decoder ended the body. Why this works: the transport reports the orderly end of the input as an event of its own; without it such a body fails.

--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -49,6 +50,8 @@
     private boolean responseStarted;
     private int headBytes;
     private boolean reusable;
+    private boolean endsWithConnection;
+    private boolean inputEnded;
     private String failureCause;
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
     private long idleSinceNanos;
@@ -106,6 +109,11 @@
         headBytes += bytes;
     }
 
+    /** Records that the server has closed its side of the connection in order. */
+    void inputEnded() {
+        inputEnded = true;
+    }
+
     /** Closes the connection without notifying the listener. */
     void discard() {
         listener = null;
@@ -146,6 +154,14 @@
         pool.connectionClosed(this);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            ChannelUtils.close(ctx.channel());
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         fail("reset");
@@ -179,6 +195,7 @@
             return;
         }
         responseStarted = true;
+        endsWithConnection = HeaderUtils.endsWithConnection(response);
         reusable = HttpUtil.isKeepAlive(response);
         String keepAlive = response.headers().get("Keep-Alive");
         if (keepAlive != null) {
@@ -211,7 +228,12 @@
             listener.bodyReceived(bytes);
         }
         if (last && listener != null && failureCause == null) {
-            finish();
+            if (endsWithConnection && !inputEnded) {
+                // The decoder ends such a body with the connection, also if it ended by an error.
+                fail("reset");
+            } else {
+                finish();
+            }
         }
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -141,6 +141,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Reports the orderly end of the input, which a closed connection does not tell from a reset.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/ScriptedServer.java
@@ -26,8 +26,14 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Script script;
+    private final boolean answeringEarly;
 
     public ScriptedServer(Script script) throws IOException {
+        this(script, false);
+    }
+
+    private ScriptedServer(Script script, boolean answeringEarly) throws IOException {
+        this.answeringEarly = answeringEarly;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
         Thread thread = new Thread(this::accept, "scripted-server");
@@ -35,6 +41,11 @@
         thread.start();
     }
 
+    /** Starts a server whose script runs before the body of the request is read. */
+    public static ScriptedServer answeringEarly(Script script) throws IOException {
+        return new ScriptedServer(script, true);
+    }
+
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
@@ -90,7 +101,7 @@
                     head.append((char) next);
                 }
                 int at = head.toString().toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
-                if (at >= 0) {
+                if (at >= 0 && !answeringEarly) {
                     int end = head.indexOf("\r\n", at);
                     input.readNBytes(Integer.parseInt(head.substring(at + 16, end)));
                 }
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -36,6 +36,7 @@
 
     static final ServiceName SERVICE = new ServiceName("service");
     private static final ZoneName ZONE = new ZoneName("zone");
+    private static final int MAX_BODY_BYTES = 10_000;
     private static final int CALLER_TIMEOUT_MILLIS = 5000;
 
     final ForwardingContext context;
@@ -67,6 +68,11 @@
 
     /** Applies a configuration with the route prefixes /once/, /safe/, /stream/, /resume/ and /short/. */
     ForwardingFixture withConfiguration() throws Exception {
+        return withConfiguration(MAX_BODY_BYTES);
+    }
+
+    /** Applies the same configuration with another limit of request bodies. */
+    ForwardingFixture withConfiguration(int maxBodyBytes) throws Exception {
         List<Route> routes = List.of(
                 route("/once/", RouteKind.AT_MOST_ONCE, false, Duration.ofSeconds(3)),
                 route("/safe/", RouteKind.IDEMPOTENT, false, Duration.ofSeconds(3)),
@@ -79,7 +85,7 @@
                 List.of(new ServicePolicy(SERVICE, 100, 0, Duration.ZERO, 0)),
                 Map.of("good", new WorkspaceId("workspace")),
                 true,
-                new CallerLimits(8192, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+                new CallerLimits(8192, maxBodyBytes, Duration.ofSeconds(3), Duration.ofSeconds(15)));
         loop.submit(() -> context.applyConfiguration(configuration)).sync();
         loop.submit(context::registrationsLoaded).sync();
         warmUp();
@@ -101,7 +107,15 @@
 
     /** Starts a server that runs a script, and registers it; it stops with the router. */
     ScriptedServer serve(ScriptedServer.Script script) throws Exception {
-        ScriptedServer server = new ScriptedServer(script);
+        return register(new ScriptedServer(script));
+    }
+
+    /** Starts a server whose script runs before the body of a request is read, and registers it. */
+    ScriptedServer serveEarly(ScriptedServer.Script script) throws Exception {
+        return register(ScriptedServer.answeringEarly(script));
+    }
+
+    private ScriptedServer register(ScriptedServer server) throws Exception {
         servers.add(server);
         registerServer(server.address());
         return server;
@@ -164,6 +178,13 @@
         return call(method, path, id, "");
     }
 
+    /** Sends a request with a body of zeros. */
+    String callWithBody(String path, String id, int bodyBytes) throws IOException {
+        return sendRaw("POST " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id
+                + "\r\nX-Key: good\r\nConnection: close\r\nContent-Length: " + bodyBytes + "\r\n\r\n"
+                + "0".repeat(bodyBytes));
+    }
+
     /** Sends a request with additional header lines. */
     String call(String method, String path, String id, String headerLines) throws IOException {
         return sendRaw(method + " " + path + " HTTP/1.1\r\nHost: host\r\nX-Id: " + id + "\r\n" + headerLines
