Attribute crashes to a prompt part only if they are successive and of different requests

Callers saw: 400 "a part of the prompt crashes servers" for sound requests, for a minute after all engines of a service had crashed at once; and with requests that are deadly by themselves, sound requests with the same parts denied and engine after engine crashed by one request. Cause: each server that crashed counted as independent evidence. Servers that fail together interrupt the same popular parts, and a request that is sent again and again blames its sound parts each time. Why this works: crashes count only if each interrupted a request that was sent after the crash before, and only as often as different requests are needed to explain them. A request that was on two servers when they crashed is not sent again for 15 s; it never gets 400, since two failures may have met it by chance.

Tests: crashes that were 1 ns apart are now 200 ms apart where another router judges them, since it knows their times to 100 ms only. oneRequestThatCrashesManyServersIsProved demanded that a part is blamed for five crashes of one request; in its place the request is proved after two crashes and its parts are not blamed.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -21,33 +21,45 @@
  * <p>A part that some server has answered since a crash did not cause it. Of the other parts, the one that was involved
  * in the most crashes explains them, and only the crashes that it leaves unexplained count against the next one. An
  * incarnation of a server crashes once, so that connections to it that break at other times add no further crash.
+ *
+ * <p>Crashes prove a part only if they happened one after the other, with different requests. Servers that fail together
+ * interrupt the same popular parts, and one request that crashes servers takes its sound parts along; the latter is
+ * proved by itself, under the key of its last part.
  */
 final class CrashEvidence {
 
-    /** Crashes without an answer in between that prove a part which no server has answered before. */
+    /** Crashes without an answer in between that prove a request. */
+    static final int REQUIRED_CRASHES_OF_REQUEST = 2;
+
+    /** Successive crashes without an answer in between that prove a part which no server has answered before. */
     static final int REQUIRED_CRASHES = 3;
 
-    /** Different requests that must have been involved; one that is resumed or repeated crashes several servers. */
+    /** Different requests that must be needed to explain these crashes. */
     static final int REQUIRED_REQUESTS = 2;
 
     /**
-     * Crashes that prove a part which was answered before or has come with one request only. The former can have become
-     * harmful only by a change of the servers, and a popular part is involved in many crashes when a zone fails; the
-     * latter may be a sound request that was resumed on several servers that others crashed.
+     * Successive crashes that prove a part which was answered before; it can have become harmful only by a change of the
+     * servers.
      */
     static final int REQUIRED_CRASHES_IN_DOUBT = 5;
 
+    /** Different requests that must be needed to explain the crashes of such a part. */
+    static final int REQUIRED_REQUESTS_IN_DOUBT = 3;
+
     /** Time since its last answer before such a part can be proved; requests in progress elsewhere are answered. */
     static final Duration SETTLING_TIME_AFTER_ANSWER = Duration.ofSeconds(2);
 
     /** Time for which a crash counts; several times the longest quarantine, so that trials renew the evidence. */
     static final Duration RETENTION_TIME = Duration.ofHours(1);
 
-    /** Time in which reports of a crash may still arrive; one about an answered part must not start anew. */
+    /**
+     * Time in which reports of a crash may still arrive; one about an answered part must not start anew. Single requests
+     * count no longer than this, since their callers have left.
+     */
     private static final Duration REPETITION_TIME = Duration.ofMinutes(1);
 
     private static final int MAX_CRASHES = 256;
-    private static final int MAX_PARTS_PER_CRASH = 64;
+    private static final int MAX_PARTS_PER_CRASH = 128;
     private static final int MAX_ANSWERED_PARTS = 8192;
 
     /** Involvement in the crash by part, least recently reported crash first. */
@@ -61,23 +73,20 @@
      *
      * @param report crash
      * @param crashNanos time of the crash
+     * @param uncertainty maximum error of the time, relative to the crashes that other routers report
      * @return false if the crash and all its parts were known
      */
-    boolean addCrash(CrashReport report, long crashNanos) {
+    boolean addCrash(CrashReport report, long crashNanos, Duration uncertainty) {
         Incarnation incarnation = new Incarnation(report.server(), report.startedMillis());
         Map<PartKey, Involvement> parts = crashes.computeIfAbsent(incarnation, key -> new HashMap<>());
         boolean changed = false;
-        for (Map.Entry<PartKey, PartKey> entry : report.parts().entrySet()) {
-            if (parts.size() >= MAX_PARTS_PER_CRASH && !parts.containsKey(entry.getKey())) {
-                break;
-            }
-            Involvement involvement = parts.get(entry.getKey());
-            if (involvement == null) {
-                involvement = new Involvement(crashNanos);
-                parts.put(entry.getKey(), involvement);
-                changed = true;
+        for (UnansweredPart part : report.parts()) {
+            if (parts.size() >= MAX_PARTS_PER_CRASH && !parts.containsKey(part.part())) {
+                continue;
             }
-            changed |= involvement.add(entry.getValue());
+            long sentNanos = crashNanos - part.sinceSend().plus(uncertainty).toNanos();
+            changed |= parts.computeIfAbsent(part.part(), key -> new Involvement(crashNanos))
+                    .add(part.request(), sentNanos);
         }
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
@@ -109,7 +118,7 @@
         Set<PartKey> suspects = new HashSet<>();
         crashes.values()
                 .forEach(parts -> parts.forEach((part, involvement) -> {
-                    if (!answeredSince(part, involvement.crashNanos)) {
+                    if (!answeredSince(part, involvement.crashNanos())) {
                         suspects.add(part);
                     }
                 }));
@@ -120,7 +129,7 @@
     List<Culprit> culprits(long nowNanos) {
         removeObsolete(nowNanos);
         Set<Incarnation> unexplained = new LinkedHashSet<>(crashes.keySet());
-        List<Culprit> culprits = new ArrayList<>();
+        List<Culprit> culprits = new ArrayList<>(requests());
         Optional<Culprit> next = strongest(unexplained, nowNanos);
         while (next.isPresent()) {
             culprits.add(next.get());
@@ -129,12 +138,29 @@
         return culprits;
     }
 
+    /** Returns the requests that are proved by themselves. */
+    private List<Culprit> requests() {
+        Map<PartKey, Set<Incarnation>> involved = new LinkedHashMap<>();
+        crashes.forEach((incarnation, parts) -> parts.forEach((part, involvement) -> {
+            if (involvement.requests().contains(part) && !answeredSince(part, involvement.crashNanos())) {
+                involved.computeIfAbsent(part, key -> new LinkedHashSet<>()).add(incarnation);
+            }
+        }));
+        List<Culprit> culprits = new ArrayList<>();
+        involved.forEach((request, incarnations) -> {
+            if (incarnations.size() >= REQUIRED_CRASHES_OF_REQUEST) {
+                culprits.add(culprit(Set.of(request), request, incarnations, true));
+            }
+        });
+        return culprits;
+    }
+
     /** Returns the parts involved in the most crashes and removes these crashes, or empty if no part is proved. */
     private Optional<Culprit> strongest(Set<Incarnation> unexplained, long nowNanos) {
         Map<PartKey, Set<Incarnation>> involved = new HashMap<>();
         for (Incarnation incarnation : unexplained) {
             crashes.get(incarnation).forEach((part, involvement) -> {
-                if (!answeredSince(part, involvement.crashNanos)) {
+                if (!answeredSince(part, involvement.crashNanos())) {
                     involved.computeIfAbsent(part, key -> new LinkedHashSet<>()).add(incarnation);
                 }
             });
@@ -148,30 +174,36 @@
             Set<PartKey> indistinguishable = new HashSet<>(involved.keySet());
             indistinguishable.removeIf(other -> !involved.get(other).equals(explained));
             unexplained.removeAll(explained);
-            return culprit(indistinguishable, part, explained);
+            return culprit(indistinguishable, part, explained, false);
         });
     }
 
-    private Culprit culprit(Set<PartKey> parts, PartKey part, Collection<Incarnation> explained) {
+    private Culprit culprit(
+            Set<PartKey> parts, PartKey part, Collection<Incarnation> explained, boolean singleRequest) {
         List<String> servers =
                 explained.stream().map(crash -> crash.server().value()).toList();
         long last = explained.stream()
-                .map(crash -> crashes.get(crash).get(part).crashNanos)
+                .map(crash -> crashes.get(crash).get(part).crashNanos())
                 .max((a, b) -> Long.signum(a - b))
                 .orElseThrow();
-        return new Culprit(parts, servers, last);
+        return new Culprit(parts, servers, last, singleRequest);
     }
 
     private boolean isProved(PartKey part, Set<Incarnation> involved, long nowNanos) {
-        if (involved.size() >= REQUIRED_CRASHES_IN_DOUBT) {
-            Long answered = answers.get(part);
-            return answered == null || nowNanos - answered >= SETTLING_TIME_AFTER_ANSWER.toNanos();
+        List<Involvement> involvements =
+                involved.stream().map(crash -> crashes.get(crash).get(part)).toList();
+        if (involvements.size() < REQUIRED_CRASHES) {
+            return false;
+        }
+        int successive = Involvement.countSuccessive(involvements);
+        int requests = Involvement.countRequests(involvements);
+        Long answered = answers.get(part);
+        if (answered == null) {
+            return successive >= REQUIRED_CRASHES && requests >= REQUIRED_REQUESTS;
         }
-        Set<PartKey> requests = new HashSet<>();
-        involved.forEach(crash -> requests.addAll(crashes.get(crash).get(part).requests));
-        return involved.size() >= REQUIRED_CRASHES
-                && requests.size() >= REQUIRED_REQUESTS
-                && !answers.containsKey(part);
+        return successive >= REQUIRED_CRASHES_IN_DOUBT
+                && requests >= REQUIRED_REQUESTS_IN_DOUBT
+                && nowNanos - answered >= SETTLING_TIME_AFTER_ANSWER.toNanos();
     }
 
     private boolean answeredSince(PartKey part, long crashNanos) {
@@ -183,9 +215,11 @@
     private void removeObsolete(long nowNanos) {
         for (Map<PartKey, Involvement> parts : crashes.values()) {
             parts.entrySet().removeIf(entry -> {
-                long age = nowNanos - entry.getValue().crashNanos;
-                boolean answered = answeredSince(entry.getKey(), entry.getValue().crashNanos);
-                return age > (answered ? REPETITION_TIME : RETENTION_TIME).toNanos();
+                Involvement involvement = entry.getValue();
+                boolean request = involvement.requests().contains(entry.getKey());
+                boolean answered = answeredSince(entry.getKey(), involvement.crashNanos());
+                long age = nowNanos - involvement.crashNanos();
+                return age > (request || answered ? REPETITION_TIME : RETENTION_TIME).toNanos();
             });
         }
         crashes.values().removeIf(Map::isEmpty);
@@ -196,11 +230,9 @@
         Map<CrashReport, Long> found = new HashMap<>();
         crashes.forEach((incarnation, parts) -> {
             if (parts.keySet().containsAll(culprit.parts())) {
-                Map<PartKey, PartKey> involved = new HashMap<>();
-                culprit.parts()
-                        .forEach(part -> involved.put(
-                                part, parts.get(part).requests.iterator().next()));
-                long time = parts.get(culprit.parts().iterator().next()).crashNanos;
+                List<UnansweredPart> involved = new ArrayList<>();
+                culprit.parts().forEach(part -> parts.get(part).addTo(involved, part));
+                long time = parts.get(culprit.parts().iterator().next()).crashNanos();
                 found.put(new CrashReport(incarnation.server(), incarnation.startedMillis(), involved), time);
             }
         });
@@ -211,22 +243,4 @@
     }
 
     private record Incarnation(ServerName server, long startedMillis) {}
-
-    /** Involvement of one part in one crash. */
-    private static final class Involvement {
-
-        private final Set<PartKey> requests = new LinkedHashSet<>();
-
-        /** Time of the crash by the first report; a report that is read late makes the crash seem later. */
-        private final long crashNanos;
-
-        private Involvement(long crashNanos) {
-            this.crashNanos = crashNanos;
-        }
-
-        /** Adds a request with the part; returns false if it is known or enough others are. */
-        private boolean add(PartKey request) {
-            return requests.size() < REQUIRED_REQUESTS && requests.add(request);
-        }
-    }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashReport.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashReport.java
@@ -1,6 +1,9 @@
 package org.coltsfootquay.decision.quarantine;
 
-import java.util.Map;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.ServerName;
 
@@ -9,14 +12,24 @@
  *
  * @param server server
  * @param startedMillis start time of the server by its own clock, Unix milliseconds; tells its incarnations apart
- * @param parts shared parts of requests that the server had not begun to answer, each with the key of the last part of
- *     such a request, which tells different requests apart
+ * @param parts parts of requests that the server had not begun to answer
  */
-public record CrashReport(ServerName server, long startedMillis, Map<PartKey, PartKey> parts) {
+public record CrashReport(ServerName server, long startedMillis, List<UnansweredPart> parts) {
 
-    /** Validates the values and copies the map. */
+    /** Validates the values and copies the list. */
     public CrashReport {
         ArgumentUtils.requireValue(server, "server");
-        parts = Map.copyOf(parts);
+        parts = List.copyOf(parts);
+    }
+
+    /**
+     * Returns the keys of the parts.
+     *
+     * @return keys, each once
+     */
+    public Collection<PartKey> partKeys() {
+        Set<PartKey> keys = new LinkedHashSet<>();
+        parts.forEach(part -> keys.add(part.part()));
+        return keys;
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/Culprit.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/Culprit.java
@@ -11,8 +11,9 @@
  * @param parts parts that were involved in the same crashes; requests are affected that contain all of them
  * @param servers servers that crashed, least recently crashed first
  * @param lastCrashNanos time of the latest crash
+ * @param singleRequest true if the only part is the last one of one request or session
  */
-record Culprit(Set<PartKey> parts, List<String> servers, long lastCrashNanos) {
+record Culprit(Set<PartKey> parts, List<String> servers, long lastCrashNanos, boolean singleRequest) {
 
     Culprit {
         parts = Set.copyOf(parts);
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -30,6 +30,12 @@
     /** Duration of a quarantine after the crash that proves it; a trial costs the capacity of an engine for seconds. */
     static final Duration INITIAL_DURATION = Duration.ofMinutes(1);
 
+    /** Duration of the quarantine of a single request; its callers have left by then. */
+    static final Duration SINGLE_REQUEST_DURATION = Duration.ofSeconds(15);
+
+    /** Maximum error of the time of a crash that another router reports: the delays of datagrams and event loops. */
+    private static final Duration REPORT_UNCERTAINTY = Duration.ofMillis(100);
+
     /** Maximum duration of a quarantine; bounds how long a part is rejected after the servers were corrected. */
     static final Duration MAX_DURATION = Duration.ofMinutes(15);
 
@@ -90,15 +96,16 @@
     /**
      * Records a crash that this router has seen.
      *
-     * @param report crash with the parts of the requests of this router that the server had not begun to answer
+     * @param report crash with the parts of the requests of this router that the server had not begun to answer; each
+     *     request is itself a part under the key of its last one
      * @param nowNanos current time
      */
     public void recordCrash(CrashReport report, long nowNanos) {
-        if (report.parts().isEmpty() || !evidence.addCrash(report, nowNanos)) {
+        if (report.parts().isEmpty() || !evidence.addCrash(report, nowNanos, Duration.ZERO)) {
             return;
         }
         crashesToSend.put(report, new Outgoing(nowNanos));
-        report.parts().keySet().forEach(this::sendAnswer);
+        report.partKeys().forEach(this::sendAnswer);
         evaluate(nowNanos);
         listener.newsAdded();
     }
@@ -124,10 +131,22 @@
         }
     }
 
+    /**
+     * Records that a server has answered a request that other requests do not share their last part with.
+     *
+     * @param request key of the last part of its prompt
+     * @param nowNanos current time
+     */
+    public void recordAnswer(PartKey request, long nowNanos) {
+        if (suspects.contains(request)) {
+            recordAnswer(Set.of(request), nowNanos);
+        }
+    }
+
     /**
      * Returns why a request must not be sent.
      *
-     * @param parts shared parts of its prompt
+     * @param parts parts of its prompt
      * @param nowNanos current time
      * @return reason, or empty if it may be sent
      */
@@ -141,10 +160,7 @@
         return entries.values().stream()
                 .filter(entry -> parts.containsAll(entry.culprit.parts()) && !entry.trialAllowed(nowNanos))
                 .findFirst()
-                .map(entry -> new Rejection(
-                        entry.culprit.partNames(),
-                        entry.culprit.crashes(),
-                        nowNanos - entry.sinceNanos >= SETTLING_TIME.toNanos()));
+                .map(entry -> entry.rejection(nowNanos));
     }
 
     /**
@@ -175,9 +191,9 @@
         for (Map.Entry<CrashReport, Duration> crash : news.crashes().entrySet()) {
             if (isPlausible(crash.getValue())) {
                 long crashNanos = nowNanos - crash.getValue().toNanos();
-                if (evidence.addCrash(crash.getKey(), crashNanos)) {
+                if (evidence.addCrash(crash.getKey(), crashNanos, REPORT_UNCERTAINTY)) {
                     changed = true;
-                    crash.getKey().parts().keySet().forEach(this::sendAnswer);
+                    crash.getKey().partKeys().forEach(this::sendAnswer);
                 }
             }
         }
@@ -296,6 +312,9 @@
      * request through at once.
      */
     private long firstTrialNanos(Culprit culprit) {
+        if (culprit.singleRequest()) {
+            return culprit.lastCrashNanos() + SINGLE_REQUEST_DURATION.toNanos();
+        }
         int doublings = Math.min(MAX_DOUBLINGS, Math.max(0, culprit.crashes() - CrashEvidence.REQUIRED_CRASHES));
         long duration = Math.min(MAX_DURATION.toNanos(), INITIAL_DURATION.toNanos() << doublings);
         long delay = (long) (random.nextDouble() * routers.getAsInt() * TRIAL_SPACING.toNanos());
@@ -328,6 +347,13 @@
             this.trialNanos = trialNanos;
         }
 
+        private Rejection rejection(long nowNanos) {
+            boolean settled = !culprit.singleRequest() && nowNanos - sinceNanos >= SETTLING_TIME.toNanos();
+            long untilTrial = Math.max(0, trialNanos - nowNanos);
+            Duration retryAfter = culprit.singleRequest() ? Duration.ofNanos(untilTrial) : SETTLING_TIME;
+            return new Rejection(culprit.partNames(), culprit.crashes(), settled, settled ? Duration.ZERO : retryAfter);
+        }
+
         private boolean trialAllowed(long nowNanos) {
             return nowNanos - trialNanos >= 0;
         }
--- a/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
@@ -9,8 +9,8 @@
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.quarantine.CrashReport;
-import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.quarantine.PartQuarantine;
+import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.decision.selection.ServerHealth;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
@@ -53,10 +53,10 @@
      * Records that a server closed or reset a connection during a request.
      *
      * @param server server
-     * @param parts shared prompt parts of the request, with its last part, if the server had not begun to answer it
+     * @param parts prompt parts of the request if the server had not begun to answer it
      * @param afterCheck runs when it is known whether the server has crashed
      */
-    void connectionBroken(BackendEntry server, Map<PartKey, PartKey> parts, Runnable afterCheck) {
+    void connectionBroken(BackendEntry server, List<UnansweredPart> parts, Runnable afterCheck) {
         BrokenConnection broken = new BrokenConnection(server, parts, timers.nowNanos(), afterCheck);
         unchecked.computeIfAbsent(server.server(), name -> new ArrayList<>()).add(broken);
         var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> check(broken));
@@ -97,11 +97,12 @@
             return;
         }
         unchecked.remove(server);
-        Map<PartKey, PartKey> parts = new HashMap<>();
+        List<UnansweredPart> parts = new ArrayList<>();
         for (BrokenConnection other : others) {
             health.recordBrokenConnection(server, other.brokenNanos);
-            parts.putAll(other.parts);
+            parts.addAll(other.parts);
         }
+        CrashReport report = new CrashReport(server, broken.server.startedMillis(), parts);
         metrics.count("coltsfootquay_server_crashes_total");
         LOG.warn(
                 "server_crashed",
@@ -112,11 +113,11 @@
                 "requests",
                 others.size(),
                 "parts",
-                parts.keySet());
-        quarantine.recordCrash(new CrashReport(server, broken.server.startedMillis(), parts), broken.brokenNanos);
+                report.partKeys());
+        quarantine.recordCrash(report, broken.brokenNanos);
         others.forEach(other -> other.afterCheck.run());
     }
 
     private record BrokenConnection(
-            BackendEntry server, Map<PartKey, PartKey> parts, long brokenNanos, Runnable afterCheck) {}
+            BackendEntry server, List<UnansweredPart> parts, long brokenNanos, Runnable afterCheck) {}
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -1,14 +1,15 @@
 package org.coltsfootquay.router.forward;
 
 import java.time.Duration;
-import java.util.Map;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.quarantine.PartQuarantine;
 import org.coltsfootquay.decision.quarantine.Rejection;
+import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.decision.timer.TimerService;
 
 /** Relation of one request to the quarantine of prompt parts, over all servers that it is sent to. */
@@ -19,8 +20,13 @@
 
     private final PartQuarantine quarantine;
     private final TimerService timers;
-    private final Set<PartKey> parts;
+    private final Set<PartKey> sharedParts;
     private final PartKey lastPart;
+
+    /** The shared parts and the last one. */
+    private final Set<PartKey> parts;
+
+    private long sentNanos;
     private boolean answering;
     private boolean answered;
     private long firstEventNanos;
@@ -28,8 +34,12 @@
     PromptPartTracker(PartQuarantine quarantine, TimerService timers, ServiceName service, RequestMetadata request) {
         this.quarantine = quarantine;
         this.timers = timers;
-        this.parts = PartKey.ofSharedParts(service, request.model(), request.prompt());
+        this.sharedParts = PartKey.ofSharedParts(service, request.model(), request.prompt());
         this.lastPart = PartKey.ofLastPart(request.prompt());
+        this.parts = new LinkedHashSet<>(sharedParts);
+        if (!request.prompt().parts().isEmpty()) {
+            parts.add(lastPart);
+        }
     }
 
     /** Returns why the request must not be sent, or empty if it may be. */
@@ -41,7 +51,8 @@
     void sent() {
         answering = false;
         answered = false;
-        quarantine.recordSent(parts, timers.nowNanos());
+        sentNanos = timers.nowNanos();
+        quarantine.recordSent(parts, sentNanos);
     }
 
     /** Records that an event of the response was received. */
@@ -60,15 +71,22 @@
         confirm();
     }
 
-    /** Returns the shared parts by which the server may have crashed, if it has, with the last part of the request. */
-    Map<PartKey, PartKey> unansweredParts() {
-        return answered ? Map.of() : parts.stream().collect(Collectors.toMap(part -> part, part -> lastPart));
+    /** Returns the parts by which the server may have crashed, if it has crashed now. */
+    List<UnansweredPart> unansweredParts() {
+        if (answered) {
+            return List.of();
+        }
+        Duration sinceSend = Duration.ofNanos(timers.nowNanos() - sentNanos);
+        return parts.stream()
+                .map(part -> new UnansweredPart(part, lastPart, sinceSend))
+                .toList();
     }
 
     private void confirm() {
         if (!answered) {
             answered = true;
-            quarantine.recordAnswer(parts, timers.nowNanos());
+            quarantine.recordAnswer(sharedParts, timers.nowNanos());
+            quarantine.recordAnswer(lastPart, timers.nowNanos());
         }
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
@@ -1,12 +1,15 @@
 package org.coltsfootquay.router.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.quarantine.CrashReport;
 import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.quarantine.QuarantineNews;
+import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
 import org.coltsfootquay.protocol.generated.peer.BeaconAnswer;
 import org.coltsfootquay.protocol.generated.peer.BeaconCrash;
@@ -27,7 +30,10 @@
                     .setStartedMillis(report.startedMillis())
                     .setAgeMillis(age.toMillis());
             report.parts()
-                    .forEach((part, lastPart) -> crash.addParts(part.hash()).addLastParts(lastPart.hash()));
+                    .forEach(part -> crash.addParts(part.part().hash())
+                            .addLastParts(part.request().hash())
+                            .addSentBeforeMillis((int)
+                                    Math.min(MAX_AGE_MILLIS, part.sinceSend().toMillis())));
             beacon.addCrashes(crash);
         });
         news.answers()
@@ -39,9 +45,14 @@
     static QuarantineNews read(Beacon beacon) {
         Map<CrashReport, Duration> crashes = new HashMap<>();
         for (BeaconCrash crash : beacon.getCrashesList()) {
-            Map<PartKey, PartKey> parts = new HashMap<>();
+            List<UnansweredPart> parts = new ArrayList<>();
             for (int i = 0; i < Math.min(crash.getPartsCount(), crash.getLastPartsCount()); i++) {
-                parts.put(new PartKey(crash.getParts(i)), new PartKey(crash.getLastParts(i)));
+                // A sender of an earlier version does not tell when it sent the request.
+                Duration sinceSend = i < crash.getSentBeforeMillisCount()
+                        ? age(crash.getSentBeforeMillis(i))
+                        : Duration.ofMillis(MAX_AGE_MILLIS);
+                parts.add(new UnansweredPart(
+                        new PartKey(crash.getParts(i)), new PartKey(crash.getLastParts(i)), sinceSend));
             }
             if (!crash.getServer().isBlank() && !parts.isEmpty()) {
                 CrashReport report =
