Split beacons into datagrams that are received whole

Cause: a beacon was one datagram of any size, and the socket cuts datagrams off at 2,048 bytes without an error. The sender then seemed lost, and its updates with the news of crashes were ignored. Why this works: each message of a beacon fits into a datagram and is valid by itself, in any order; a lost one costs its own entries only. News of crashes counts in every datagram. A datagram that was cut off is counted and logged.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/DemandTracker.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/DemandTracker.java
@@ -75,6 +75,22 @@
         peerTotals.clear();
     }
 
+    /**
+     * Replaces the demand that a peer reports for some workspaces; its other workspaces keep theirs.
+     *
+     * @param peer peer
+     * @param demands new demands by service and workspace
+     */
+    public void updatePeerReport(RouterId peer, Map<ServiceName, Map<WorkspaceId, Demand>> demands) {
+        Map<ServiceName, Map<WorkspaceId, Demand>> report = new HashMap<>(peers.getOrDefault(peer, Map.of()));
+        demands.forEach((service, workspaces) -> {
+            Map<WorkspaceId, Demand> merged = new HashMap<>(report.getOrDefault(service, Map.of()));
+            merged.putAll(workspaces);
+            report.put(service, merged);
+        });
+        replacePeerReport(peer, report);
+    }
+
     /**
      * Removes the demand that a peer reported.
      *
--- a/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
@@ -7,7 +7,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -15,14 +17,19 @@
 import java.util.function.Consumer;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
 import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.metrics.RouterMetrics;
 
 /** Sends and receives beacons as datagrams, without retransmission: the next beacon replaces a lost one. */
 public final class BeaconChannel {
 
     private static final EventLog LOG = EventLog.of(BeaconChannel.class);
 
+    /** Size of the receive buffer; longer datagrams are cut off, so one that fills it may be incomplete. */
+    static final int RECEIVE_BYTES = 2048;
+
     private final EventLoop eventLoop;
     private final Consumer<Beacon> receiver;
+    private final RouterMetrics metrics;
     private Channel channel;
 
     /**
@@ -30,8 +37,10 @@
      *
      * @param eventLoop event loop
      * @param receiver consumer of the beacons of other routers
+     * @param metrics metrics, which count datagrams that cannot be read
      */
-    public BeaconChannel(EventLoop eventLoop, Consumer<Beacon> receiver) {
+    public BeaconChannel(EventLoop eventLoop, Consumer<Beacon> receiver, RouterMetrics metrics) {
+        this.metrics = metrics;
         this.eventLoop = eventLoop;
         this.receiver = receiver;
     }
@@ -47,6 +56,7 @@
         ChannelFuture bound = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BYTES))
                 .handler(new Handler())
                 .bind(host, port);
         channel = bound.channel();
@@ -72,11 +82,24 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            int bytes = packet.content().readableBytes();
+            if (bytes >= RECEIVE_BYTES) {
+                unreadable(packet, "longer than " + RECEIVE_BYTES + " bytes");
+                return;
+            }
+            Beacon beacon;
             try {
-                receiver.accept(Beacon.parseFrom(ByteBufUtil.getBytes(packet.content())));
+                beacon = Beacon.parseFrom(ByteBufUtil.getBytes(packet.content()));
             } catch (InvalidProtocolBufferException e) {
-                LOG.warn("beacon_unreadable", "from", packet.sender(), "reason", e.getMessage());
+                unreadable(packet, e.getMessage());
+                return;
             }
+            receiver.accept(beacon);
+        }
+
+        private void unreadable(DatagramPacket packet, String reason) {
+            metrics.count("coltsfootquay_beacons_unreadable_total");
+            LOG.warn("beacon_unreadable", "from", packet.sender(), "reason", reason);
         }
 
         @Override
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -55,6 +55,9 @@
     private final Map<WatchedTable, Boolean> fetchesInProgress = new EnumMap<>(WatchedTable.class);
     private long sequence;
 
+    /** Whether the previous beacon was too large for all of its entries. */
+    private boolean omitting;
+
     BeaconExchange(
             PeerRouter self,
             long incarnation,
@@ -91,14 +94,14 @@
                 routersByIncarnation.remove(last.incarnation);
             }
         }
-        Beacon.Builder beacon = PeerRouterCodec.convert(self)
+        Beacon.Builder header = PeerRouterCodec.convert(self)
                 .setIncarnation(incarnation)
-                .setSequence(sequence++)
                 .setReady(ready.getAsBoolean())
                 .setJoining(cacheBootstrap.isJoining());
         for (WatchedTable table : WatchedTable.values()) {
-            beacon.addTableRevisions(watcher.mirror(table).changeRevision());
+            header.addTableRevisions(watcher.mirror(table).changeRevision());
         }
+        Beacon.Builder beacon = Beacon.newBuilder();
         // A full beacon contains all loads, so the next update only needs the changes after it.
         Map<ServerName, ServerLoad> loads = forwarding.loads().takeChanged();
         loads.putAll(forwarding.loads().localLoad());
@@ -114,12 +117,41 @@
                                 .setWorkspace(workspace.value())
                                 .setAsked((long) demand.requestedTokens())
                                 .setSent((long) demand.dispatchedTokens()))));
-        byte[] bytes = beacon.build().toByteArray();
-        if (!sendToPeers(channel, bytes)) {
-            seeds.forEach(seed -> channel.send(bytes, seed));
+        List<Beacon.Builder> messages = split(header.build(), beacon.build());
+        long beaconSequence = sequence++;
+        for (int i = 0; i < messages.size(); i++) {
+            byte[] bytes = messages.get(i)
+                    .setSequence(beaconSequence)
+                    .setPart(i)
+                    .setParts(messages.size() == 1 ? 0 : messages.size())
+                    .build()
+                    .toByteArray();
+            if (!sendToPeers(channel, bytes)) {
+                seeds.forEach(seed -> channel.send(bytes, seed));
+            }
         }
     }
 
+    private List<Beacon.Builder> split(Beacon header, Beacon content) {
+        BeaconSplitter.Split split = BeaconSplitter.split(header, content);
+        if (split.omitted() > 0) {
+            forwarding
+                    .metrics()
+                    .counter("coltsfootquay_beacon_entries_omitted_total")
+                    .inc(split.omitted());
+            if (!omitting) {
+                LOG.warn(
+                        "beacon_too_large",
+                        "omitted",
+                        split.omitted(),
+                        "datagrams",
+                        split.messages().size());
+            }
+        }
+        omitting = split.omitted() > 0;
+        return split.messages();
+    }
+
     /**
      * Sends the changed loads and the new prompt cache updates since the last beacon, if any load has changed or
      * servers have crashed.
@@ -132,12 +164,15 @@
         if (changed.isEmpty() && !forwarding.quarantine().hasNews()) {
             return;
         }
-        Beacon.Builder beacon =
-                Beacon.newBuilder().setUpdate(true).setIncarnation(incarnation).setSequence(sequence++);
+        Beacon header =
+                Beacon.newBuilder().setUpdate(true).setIncarnation(incarnation).build();
+        Beacon.Builder beacon = Beacon.newBuilder();
         addLoads(beacon, changed);
         addPromptCacheUpdates(beacon);
         QuarantineNewsCodec.add(beacon, forwarding.quarantine().takeNews(false, timers.nowNanos()));
-        sendToPeers(channel, beacon.build().toByteArray());
+        for (Beacon.Builder message : split(header, beacon.build())) {
+            sendToPeers(channel, message.setSequence(sequence++).build().toByteArray());
+        }
     }
 
     private boolean sendToPeers(BeaconSender channel, byte[] bytes) {
@@ -183,48 +218,64 @@
         }
     }
 
-    /** Processes a beacon of another router. */
+    /** Processes a beacon of another router, or one of its messages. */
     void receive(Beacon beacon) {
+        // Crashes count whoever reports them, and in any order.
+        forwarding.quarantine().receive(QuarantineNewsCodec.read(beacon), timers.nowNanos());
         if (beacon.getUpdate()) {
             receiveUpdate(beacon);
             return;
         }
         Optional<PeerRouter> sender = PeerRouterCodec.convert(beacon);
-        if (sender.isEmpty() || sender.get().id().equals(self.id())) {
+        int messages = Math.max(1, beacon.getParts());
+        if (sender.isEmpty() || sender.get().id().equals(self.id()) || messages > BeaconSplitter.MAX_MESSAGES) {
             return;
         }
         PeerRouter peer = sender.get();
         LastBeacon last = lastBeacons.get(peer.id());
-        if (last != null && last.incarnation == beacon.getIncarnation() && beacon.getSequence() <= last.sequence) {
+        if (last == null || last.incarnation != beacon.getIncarnation() || beacon.getSequence() > last.sequence) {
+            last = beaconStarted(peer, last, beacon, messages);
+        }
+        Map<ServerName, ServerLoad> loads = loads(beacon);
+        Map<ServiceName, Map<WorkspaceId, Demand>> demands = demands(beacon);
+        if (beacon.getSequence() < last.sequence || !last.received.add(beacon.getPart(), loads, demands)) {
             return;
         }
+        forwarding.peers().recordBeacon(peer, beacon.getReady(), timers.nowNanos());
+        if (last.received.complete()) {
+            forwarding.loads().replacePeerReport(peer.id(), last.received.loads());
+            forwarding.demands().replacePeerReport(peer.id(), last.received.demands());
+        } else {
+            forwarding.loads().updatePeerLoads(peer.id(), loads);
+            forwarding.demands().updatePeerReport(peer.id(), demands);
+        }
+        recordEngineWork(beacon);
+        recordPromptCacheUpdates(beacon);
+    }
+
+    /** Processes what all messages of a beacon have in common. */
+    private LastBeacon beaconStarted(PeerRouter peer, LastBeacon last, Beacon beacon, int messages) {
         if (last == null || last.incarnation != beacon.getIncarnation()) {
             LOG.info("router_heard", "router", peer.id(), "incarnation", Long.toHexString(beacon.getIncarnation()));
         }
         if (last != null) {
             routersByIncarnation.remove(last.incarnation);
+            forwarding
+                    .metrics()
+                    .counter("coltsfootquay_beacon_messages_lost_total")
+                    .inc(last.received.missing());
         }
-        lastBeacons.put(peer.id(), new LastBeacon(beacon.getIncarnation(), beacon.getSequence()));
+        LastBeacon started =
+                new LastBeacon(beacon.getIncarnation(), beacon.getSequence(), new ReceivedBeacon(messages));
+        lastBeacons.put(peer.id(), started);
         routersByIncarnation.put(beacon.getIncarnation(), peer.id());
-        forwarding.peers().recordBeacon(peer, beacon.getReady(), timers.nowNanos());
         cacheBootstrap.beaconReceived(peer, beacon.getJoining());
-        forwarding.loads().replacePeerReport(peer.id(), loads(beacon));
-        recordEngineWork(beacon);
-        recordPromptCacheUpdates(beacon);
-        forwarding.quarantine().receive(QuarantineNewsCodec.read(beacon), timers.nowNanos());
-        Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
-        for (BeaconDemand demand : beacon.getDemandsList()) {
-            if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
-                demands.computeIfAbsent(new ServiceName(demand.getService()), name -> new HashMap<>())
-                        .put(new WorkspaceId(demand.getWorkspace()), new Demand(demand.getAsked(), demand.getSent()));
-            }
-        }
-        forwarding.demands().replacePeerReport(peer.id(), demands);
         for (WatchedTable table : WatchedTable.values()) {
             if (table.number() < beacon.getTableRevisionsCount()) {
                 compareRevision(peer, table, beacon.getTableRevisions(table.number()));
             }
         }
+        return started;
     }
 
     /** Processes an update; ignores one of an unknown incarnation, since a full beacon follows within a second. */
@@ -233,11 +284,22 @@
         if (peer == null || beacon.getSequence() <= lastBeacons.get(peer).sequence) {
             return;
         }
-        lastBeacons.put(peer, new LastBeacon(beacon.getIncarnation(), beacon.getSequence()));
+        LastBeacon last = lastBeacons.get(peer);
+        lastBeacons.put(peer, new LastBeacon(beacon.getIncarnation(), beacon.getSequence(), last.received));
         forwarding.loads().updatePeerLoads(peer, loads(beacon));
         recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
-        forwarding.quarantine().receive(QuarantineNewsCodec.read(beacon), timers.nowNanos());
+    }
+
+    private static Map<ServiceName, Map<WorkspaceId, Demand>> demands(Beacon beacon) {
+        Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
+        for (BeaconDemand demand : beacon.getDemandsList()) {
+            if (!demand.getService().isEmpty() && !demand.getWorkspace().isEmpty()) {
+                demands.computeIfAbsent(new ServiceName(demand.getService()), name -> new HashMap<>())
+                        .put(new WorkspaceId(demand.getWorkspace()), new Demand(demand.getAsked(), demand.getSent()));
+            }
+        }
+        return demands;
     }
 
     private static Map<ServerName, ServerLoad> loads(Beacon beacon) {
@@ -302,5 +364,6 @@
         }
     }
 
-    private record LastBeacon(long incarnation, long sequence) {}
+    /** Last beacon or update of a router, with the messages of its last beacon. */
+    private record LastBeacon(long incarnation, long sequence, ReceivedBeacon received) {}
 }
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -122,7 +122,7 @@
                 cacheBootstrap,
                 timers,
                 this::ready);
-        this.beaconChannel = new BeaconChannel(eventLoop, beaconExchange::receive);
+        this.beaconChannel = new BeaconChannel(eventLoop, beaconExchange::receive, forwarding.metrics());
     }
 
     /**
--- a/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
@@ -20,25 +20,36 @@
     /** Ages above this are cut, since larger ones overflow a duration in nanoseconds; far above any retention time. */
     private static final long MAX_AGE_MILLIS = Duration.ofDays(1).toMillis();
 
+    /** Parts of a crash in one entry, which has to fit into a datagram. */
+    private static final int MAX_PARTS_PER_ENTRY = 32;
+
     private QuarantineNewsCodec() {}
 
     /** Adds news to a beacon. */
     static void add(Beacon.Builder beacon, QuarantineNews news) {
-        news.crashes().forEach((report, age) -> {
+        news.crashes().forEach((report, age) -> addCrash(beacon, report, age));
+        news.answers()
+                .forEach((part, age) -> beacon.addAnswers(
+                        BeaconAnswer.newBuilder().setPart(part.hash()).setAgeMillis(age.toMillis())));
+    }
+
+    /** Adds a crash, in several entries if it has many parts; a receiver combines them. */
+    private static void addCrash(Beacon.Builder beacon, CrashReport report, Duration age) {
+        for (int from = 0; from < report.parts().size(); from += MAX_PARTS_PER_ENTRY) {
             BeaconCrash.Builder crash = BeaconCrash.newBuilder()
                     .setServer(report.server().value())
                     .setStartedMillis(report.startedMillis())
                     .setAgeMillis(age.toMillis());
-            report.parts()
-                    .forEach(part -> crash.addParts(part.part().hash())
-                            .addLastParts(part.request().hash())
-                            .addSentBeforeMillis((int)
-                                    Math.min(MAX_AGE_MILLIS, part.sinceSend().toMillis())));
+            int to = Math.min(from + MAX_PARTS_PER_ENTRY, report.parts().size());
+            for (UnansweredPart part : report.parts().subList(from, to)) {
+                long sentBeforeMillis =
+                        Math.min(MAX_AGE_MILLIS, part.sinceSend().toMillis());
+                crash.addParts(part.part().hash())
+                        .addLastParts(part.request().hash())
+                        .addSentBeforeMillis((int) sentBeforeMillis);
+            }
             beacon.addCrashes(crash);
-        });
-        news.answers()
-                .forEach((part, age) -> beacon.addAnswers(
-                        BeaconAnswer.newBuilder().setPart(part.hash()).setAgeMillis(age.toMillis())));
+        }
     }
 
     /** Returns the news in a beacon; crashes without a server or parts are left out. */
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -8,11 +8,19 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.coltsfootquay.decision.admission.Demand;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
+import org.coltsfootquay.decision.common.ServiceName;
+import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.peer.PeerTable;
@@ -35,9 +43,14 @@
  */
 final class BeaconExchangeTest {
 
+    /** Payload of a datagram on a link with an MTU of 1,500 bytes. */
+    private static final int MAX_DATAGRAM_BYTES = 1472;
+
+    private static final ServiceName SERVICE = new ServiceName("drawing-assistant");
     private static final ServerName SERVER = new ServerName("s");
     private static final Duration CRASH_INTERVAL = Duration.ofMillis(200);
     private static final PartKey PART = new PartKey(7);
+    private static final int FIRST_REQUEST = 1_000;
     private static final ServerName OTHER = new ServerName("other");
 
     private final DrivenTimerService timers = new DrivenTimerService(0);
@@ -148,6 +161,133 @@
         assertFalse(receiver.isQuarantined());
     }
 
+    /** With 60 workspaces beacons exceeded the receive buffer; routers were lost and did not hear of crashes. */
+    @Test
+    void beaconOfManyWorkspacesIsReceivedWhole() {
+        fill(60, 16, 8);
+        sender.exchange.send(sender::capture);
+        assertDatagramsFit();
+        receiver.receiveAll(sender);
+        assertReceivedWhole(60, 16, 8);
+    }
+
+    @Property(tries = 30)
+    void beaconOfAnySizeIsReceivedWholeInAnyOrder(
+            @ForAll @IntRange(min = 0, max = 400) int workspaces,
+            @ForAll @IntRange(min = 0, max = 400) int servers,
+            @ForAll @IntRange(min = 0, max = 60) int crashes,
+            @ForAll Random random) {
+        // All tries of a property share one instance.
+        new BeaconExchangeTest().assertReceivedWholeInAnyOrder(workspaces, servers, crashes, random);
+    }
+
+    private void assertReceivedWholeInAnyOrder(int workspaces, int servers, int crashes, Random random) {
+        fill(workspaces, servers, crashes);
+        sender.exchange.send(sender::capture);
+        assertDatagramsFit();
+        Collections.shuffle(sender.datagrams, random);
+        receiver.receiveAll(sender);
+        assertReceivedWhole(workspaces, servers, crashes);
+    }
+
+    @Property(tries = 30)
+    void lostDatagramLosesOnlyItsOwnEntriesUntilTheNextBeacon(
+            @ForAll @IntRange(min = 100, max = 400) int workspaces,
+            @ForAll @IntRange(min = 100, max = 400) int servers,
+            @ForAll Random random) {
+        new BeaconExchangeTest().assertOnlyALostDatagramIsMissing(workspaces, servers, random);
+    }
+
+    private void assertOnlyALostDatagramIsMissing(int workspaces, int servers, Random random) {
+        fill(workspaces, servers, 0);
+        sender.exchange.send(sender::capture);
+        int datagrams = sender.datagrams.size();
+        sender.datagrams.remove(random.nextInt(datagrams));
+        receiver.receiveAll(sender);
+        int known = knownLoads(servers) + knownDemands(workspaces);
+        assertTrue(known > 0 && known < servers + workspaces, known + " entries known");
+        assertTrue(known >= (servers + workspaces) / 3, known + " entries known");
+        sender.datagrams.clear();
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        assertReceivedWhole(workspaces, servers, 0);
+    }
+
+    @Test
+    void loadThatIsMissingInAWholeBeaconOfSeveralDatagramsIsRemoved() {
+        fill(60, 60, 0);
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        sender.datagrams.clear();
+        sender.forwarding.loads().addLocal(server(0), new ServerLoad(-1, -1, -1));
+        sender.forwarding.loads().takeChanged();
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        assertEquals(ServerLoad.NONE, receiver.forwarding.loads().totalLoad(server(0)));
+        assertEquals(59, knownLoads(60));
+    }
+
+    /** The update may overtake the beacon that introduces its sender. */
+    @Test
+    void crashInAnUpdateOfAnUnknownSenderCounts() {
+        for (int i = 0; i < 3; i++) {
+            sender.crash("s" + i, i);
+        }
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        assertTrue(receiver.isQuarantined());
+    }
+
+    private void fill(int workspaces, int servers, int crashes) {
+        for (int i = 0; i < crashes; i++) {
+            sender.crash("crashed-" + i, FIRST_REQUEST + i);
+        }
+        sender.peers.recordBeacon(receiver.self, true, timers.nowNanos());
+        for (int i = 0; i < workspaces; i++) {
+            sender.forwarding.demands().recordRequested(SERVICE, workspace(i), 100, timers.nowNanos());
+        }
+        for (int i = 0; i < servers; i++) {
+            sender.forwarding.loads().addLocal(server(i), new ServerLoad(1, 1, 1));
+        }
+    }
+
+    private void assertDatagramsFit() {
+        for (byte[] datagram : sender.datagrams) {
+            assertTrue(datagram.length <= MAX_DATAGRAM_BYTES, datagram.length + " bytes");
+        }
+    }
+
+    private void assertReceivedWhole(int workspaces, int servers, int crashes) {
+        assertEquals(servers, knownLoads(servers));
+        assertEquals(workspaces, knownDemands(workspaces));
+        assertEquals(crashes >= 3, receiver.isQuarantined());
+    }
+
+    private int knownLoads(int servers) {
+        int known = 0;
+        for (int i = 0; i < servers; i++) {
+            known += receiver.forwarding.loads().totalLoad(server(i)).requests();
+        }
+        return known;
+    }
+
+    private int knownDemands(int workspaces) {
+        Map<WorkspaceId, Demand> demands = receiver.forwarding.demands().totalDemands(SERVICE, timers.nowNanos());
+        int known = 0;
+        for (int i = 0; i < workspaces; i++) {
+            known += demands.containsKey(workspace(i)) ? 1 : 0;
+        }
+        return known;
+    }
+
+    private static ServerName server(int number) {
+        return new ServerName("i-10000000" + number);
+    }
+
+    private static WorkspaceId workspace(int number) {
+        return new WorkspaceId("workspace-" + number);
+    }
+
     private final class TestRouter {
 
         private final PeerRouter self;
