Bound the memory that all responses of servers take together

Callers saw: no answers from a sound service while the engines of another one sent bodies without end. Cause: each response was bounded by itself, all together by nothing; 360 events of 1 MiB exceed the heap of 160 MiB. Why this works: responses are counted against one budget, of which a service may hold as much as it leaves free. The largest response of a service at its limit is cut off with a true status, so an endless one goes before the others.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -26,6 +26,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.coltsfootquay.decision.memory.HeldBytes;
 import org.coltsfootquay.decision.route.Access;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
 import org.coltsfootquay.decision.route.ServicePolicy;
@@ -311,6 +312,13 @@
         reject(status, reason, "", Optional.empty());
     }
 
+    @Override
+    public void sendResponse(HttpResponseStatus status, HttpHeaders headers, byte[] bytes, HeldBytes held) {
+        sendResponse(status, headers, bytes);
+        // Runs once the socket has taken the response, or the connection is closed.
+        channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> held.release());
+    }
+
     @Override
     public void sendResponse(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerResponseWriter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerResponseWriter.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.coltsfootquay.decision.memory.HeldBytes;
 
 /** Writer for the response to one request of a caller. */
 interface CallerResponseWriter {
@@ -15,6 +16,16 @@
      */
     void sendResponse(HttpResponseStatus status, HttpHeaders headers, byte[] body);
 
+    /**
+     * Sends a complete response whose body counts toward a budget until it is written.
+     *
+     * @param status status
+     * @param headers headers without a body length
+     * @param body body
+     * @param held account of the body, which is released when it is written
+     */
+    void sendResponse(HttpResponseStatus status, HttpHeaders headers, byte[] body, HeldBytes held);
+
     /**
      * Starts a response of unknown length.
      *
--- a/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/EventSplitter.java
@@ -15,6 +15,9 @@
 
     private static final int INITIAL_BYTES = 512;
 
+    /** Size of the buffer after a large event. */
+    private static final int MAX_RETAINED_BYTES = 16 << 10;
+
     /** Digits that fit into a long. */
     private static final int MAX_DIGITS = 18;
 
@@ -47,9 +50,17 @@
         System.arraycopy(buffer, end, buffer, 0, length - end);
         length -= end;
         scannedLength = length;
+        if (buffer.length > MAX_RETAINED_BYTES && length <= MAX_RETAINED_BYTES / 2) {
+            buffer = Arrays.copyOf(buffer, MAX_RETAINED_BYTES);
+        }
         return completeEvents;
     }
 
+    /** Returns the size of the buffer. */
+    int capacity() {
+        return buffer.length;
+    }
+
     /** Returns the number of bytes after the last complete event. */
     int incompleteBytes() {
         return length;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -23,6 +23,7 @@
 import org.coltsfootquay.decision.latency.FirstEventObservation;
 import org.coltsfootquay.decision.latency.PrefillBacklog;
 import org.coltsfootquay.decision.limit.ColdStartLimiter;
+import org.coltsfootquay.decision.memory.ByteBudget;
 import org.coltsfootquay.decision.notice.PauseParser;
 import org.coltsfootquay.decision.notice.ServerNotices;
 import org.coltsfootquay.decision.peer.PeerTable;
@@ -80,6 +81,7 @@
     private final Map<ServiceName, ServerSelector> selectorsByService = new HashMap<>();
     private final List<Runnable> startupTasks = new ArrayList<>();
     private final Set<Reservation> awaitingFirstEvent = new LinkedHashSet<>();
+    private final ByteBudget responseBudget;
     private final PartQuarantine quarantine;
     private final CrashDetector crashDetector;
     private Runnable promptSentListener = () -> {};
@@ -99,6 +101,7 @@
      * @param peers other routers
      * @param limits limits that apply to all routers together
      * @param maxServerPause longest pause that a server may ask for
+     * @param memoryLimits limits of the memory for messages
      * @param metrics metrics
      */
     public ForwardingContext(
@@ -110,6 +113,7 @@
             PeerTable peers,
             FleetLimits limits,
             Duration maxServerPause,
+            MemoryLimits memoryLimits,
             RouterMetrics metrics) {
         this.zone = zone;
         this.timers = timers;
@@ -118,6 +122,8 @@
         this.peers = peers;
         this.metrics = metrics;
         this.eventLoopLag = new EventLoopLag(timers);
+        this.responseBudget = new ByteBudget(memoryLimits.responseBytes());
+        metrics.gauge("coltsfootquay_response_bytes", responseBudget::usedBytes);
         this.demands = new DemandTracker(timers.nowNanos());
         timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
         timers.schedulePeriodic("idle engines", IDLE_ENGINE_INTERVAL, latencyModel::forgetIdleEngines);
@@ -138,6 +144,11 @@
                 registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
     }
 
+    /** Returns the budget of the bytes that the router holds for responses. */
+    ByteBudget responseBudget() {
+        return responseBudget;
+    }
+
     /**
      * Returns the view of the shared prompt parts in the prompt caches of servers.
      *
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.latency.FirstEventObservation;
+import org.coltsfootquay.decision.memory.HeldBytes;
 import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.decision.route.Route;
@@ -57,6 +57,9 @@
     /** Failed attempts to get a connection for a request after which it is rejected. */
     private static final int MAX_ACQUIRE_FAILURES = 4;
 
+    /** Outcome of a request whose response finds no room in the memory for responses. */
+    private static final String MEMORY_EXHAUSTED = "memory_exhausted";
+
     /** Outcome of a request that is rejected because a part of its prompt crashes servers. */
     private static final String QUARANTINED = "quarantined_part";
 
@@ -83,7 +86,8 @@
     private ServerConnection connection;
     private HttpResponse responseHead;
     private ResponseMetadata responseMetadata;
-    private ByteArrayOutputStream responseBody;
+    private BodyBuffer responseBody;
+    private HeldBytes heldResponse;
     private EventSplitter eventSplitter;
     private String streamMediaType;
     private int acquireFailures;
@@ -284,6 +288,7 @@
         connection = serverConnection;
         sends++;
         unresolvedSends++;
+        heldResponse = context.responseBudget().open(service.name(), this::responseEvicted);
         triedServers.add(target.server());
         promptParts.sent();
         responseHead = null;
@@ -309,11 +314,25 @@
         serverConnection.send(method, uri, forwardHeaders, body, requestMetadata.requestId(), this);
     }
 
+    @Override
+    public void headBytesReceived(int bytes) {
+        holdResponse(bytes);
+    }
+
+    /** Counts the bytes that the response occupies; gives it up and returns false if there is no room. */
+    private boolean holdResponse(int bytes) {
+        boolean held = heldResponse.resize(bytes);
+        if (!held) {
+            abandonResponse(MEMORY_EXHAUSTED);
+        }
+        return held;
+    }
+
     @Override
     public void responseStarted(HttpResponse response, ResponseMetadata parsedMetadata) {
         responseHead = response;
         responseMetadata = parsedMetadata;
-        responseBody = new ByteArrayOutputStream();
+        responseBody = new BodyBuffer(0);
         context.noticeRecorder()
                 .responseReceived(selectedServer.entry(), requestMetadata.requestId(), response, parsedMetadata);
         boolean successful = response.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -344,9 +363,9 @@
                 abandonResponse("endless_body");
                 return;
             }
-            byte[] copy = new byte[bytes.readableBytes()];
-            bytes.readBytes(copy);
-            responseBody.writeBytes(copy);
+            if (holdResponse(responseBody.capacityWith(bytes.readableBytes()))) {
+                responseBody.add(bytes);
+            }
             return;
         }
         byte[] completeEvents = eventSplitter.add(bytes);
@@ -359,6 +378,9 @@
             abandonResponse("endless_event");
             return;
         }
+        if (!holdResponse(eventSplitter.capacity())) {
+            return;
+        }
         if (completeEvents.length == 0) {
             return;
         }
@@ -389,6 +411,13 @@
         responseFailed(cause);
     }
 
+    /** Gives up the response because another one of the service needs its memory. */
+    private void responseEvicted() {
+        if (connection != null) {
+            abandonResponse(MEMORY_EXHAUSTED);
+        }
+    }
+
     private void recordFirstEvent() {
         if (service.cacheTokens() > 0 && !selectedServer.queuedForSlot()) {
             context.recordFirstEvent(new FirstEventObservation(
@@ -463,7 +492,10 @@
         } else if (outcome == ResponseOutcome.UNCONFIRMED_REFUSAL) {
             sendError(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), "unconfirmed_refusal");
         } else {
-            caller.sendResponse(status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray());
+            heldResponse.pin();
+            caller.sendResponse(
+                    status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray(), heldResponse);
+            heldResponse = null;
             finish("served", status.code());
         }
     }
@@ -487,6 +519,7 @@
     public void responseFailed(String cause) {
         ServerName server = selectedServer.entry().server();
         connection = null;
+        releaseResponse();
         cancelResponseTimer();
         context.health().recordResponse(server, false, now());
         log.responseFailed(server, cause, streaming ? eventSplitter.lastId() : Optional.empty());
@@ -519,6 +552,7 @@
 
     private void handleNotExecuted(ServerName server, HttpResponseStatus status) {
         reservation.release();
+        releaseResponse();
         unresolvedSends--;
         context.metrics().count("coltsfootquay_server_refusals_total");
         log.serverRefused(server, status.code());
@@ -554,6 +588,7 @@
 
     private void retry(String cause) {
         reservation.release();
+        releaseResponse();
         if (eventSplitter != null) {
             eventSplitter.resume();
         }
@@ -608,6 +643,7 @@
             connection = null;
         }
         reservation.release();
+        releaseResponse();
         context.metrics().count("coltsfootquay_requests_total{outcome=\"" + outcome + "\"}");
         log.completed(
                 outcome,
@@ -617,6 +653,12 @@
                 Duration.ofNanos(now() - arrivalNanos));
     }
 
+    private void releaseResponse() {
+        if (heldResponse != null) {
+            heldResponse.release();
+        }
+    }
+
     private void startResponseTimer() {
         if (!route.isRetryable() || sends >= route.maxAttempts()) {
             return;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -105,8 +105,10 @@
         if (headBytes > pool.responseLimits().headBytes()) {
             fail("endless_head");
             ChannelUtils.close(channelContext.channel());
+            return;
         }
         headBytes += bytes;
+        listener.headBytesReceived(headBytes);
     }
 
     /** Records that the server has closed its side of the connection in order. */
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerResponseListener.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerResponseListener.java
@@ -6,6 +6,13 @@
 /** Listener for the response to the request that is in progress on a server connection. */
 interface ServerResponseListener {
 
+    /**
+     * Called when bytes are received before the status line and headers are complete.
+     *
+     * @param bytes bytes received since the request was sent
+     */
+    void headBytesReceived(int bytes);
+
     /**
      * Called when the status line and headers are received.
      *
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -101,6 +101,7 @@
                 peers,
                 settings.fleetLimits(),
                 settings.maxServerPause(),
+                settings.memoryLimits(),
                 metrics);
         this.callers = new CallerConnections(eventLoop, forwarding);
         this.store = platform.store(eventLoop, settings);
--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -5,6 +5,7 @@
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.coltsfootquay.router.forward.FleetLimits;
+import org.coltsfootquay.router.forward.MemoryLimits;
 import org.coltsfootquay.router.forward.ResponseLimits;
 import org.coltsfootquay.settings.SettingsObject;
 
@@ -26,6 +27,7 @@
  * @param addressTime time for which callers may cache the addresses of routers
  * @param fleetLimits limits that apply to all routers together
  * @param responseLimits limits of the responses of servers
+ * @param memoryLimits limits of the memory for messages
  * @param maxServerPause longest pause that a server may ask for
  */
 public record NodeSettings(
@@ -44,6 +46,7 @@
         Duration addressTime,
         FleetLimits fleetLimits,
         ResponseLimits responseLimits,
+        MemoryLimits memoryLimits,
         Duration maxServerPause) {
 
     private static final int MAX_PORT = 65535;
@@ -53,6 +56,9 @@
 
     private static final long MAX_RESPONSE_BYTES = 64 << 20;
 
+    /** Minimum of the memory for messages; room for some responses of usual size. */
+    private static final long MIN_MEMORY_BYTES = 1 << 20;
+
     /** Time from the stop signal until the process is killed, for a platform that states none. */
     private static final Duration DEFAULT_STOP_TIME = Duration.ofSeconds(8);
 
@@ -103,6 +109,7 @@
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
                 root.object("bounds", NodeSettings::readFleetLimits).orElseGet(NodeSettings::defaultFleetLimits),
                 root.object("responses", NodeSettings::readResponseLimits).orElse(ResponseLimits.DEFAULT),
+                root.object("memory", NodeSettings::readMemoryLimits).orElseGet(NodeSettings::defaultMemoryLimits),
                 readMaxServerPause(root));
     }
 
@@ -123,6 +130,16 @@
                 (int) limits.number("eventBytes", MIN_RESPONSE_BYTES, MAX_RESPONSE_BYTES, defaults.eventBytes()));
     }
 
+    private static MemoryLimits readMemoryLimits(SettingsObject limits) {
+        MemoryLimits defaults = defaultMemoryLimits();
+        long max = Runtime.getRuntime().maxMemory() / 2;
+        return new MemoryLimits(limits.number("responseBytes", MIN_MEMORY_BYTES, max, defaults.responseBytes()));
+    }
+
+    private static MemoryLimits defaultMemoryLimits() {
+        return MemoryLimits.ofHeap(Runtime.getRuntime().maxMemory());
+    }
+
     private static FleetLimits readFleetLimits(SettingsObject limits) {
         FleetLimits defaults = defaultFleetLimits();
         return new FleetLimits(
--- a/router/src/test/java/org/coltsfootquay/router/forward/EndlessResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EndlessResponseTest.java
@@ -24,6 +24,9 @@
     /** A request is answered long before its deadline of 3 s. */
     private static final Duration MAX_ANSWER_TIME = Duration.ofSeconds(2);
 
+    /** Responses that are in progress at the same time. */
+    private static final int CALLERS = 100;
+
     private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
 
     private final List<ScriptedServer> servers = new ArrayList<>();
@@ -43,6 +46,68 @@
         fixture.close();
     }
 
+    /** Each response was bounded, but many together filled the heap, and no request was answered any more. */
+    @Test
+    void manyEndlessBodiesLeaveMemoryToOthers() throws Exception {
+        holdPartOf("Content-Length: 3000000\r\n\r\n" + "x".repeat(1 << 20));
+        assertMemoryIsBounded("/once/");
+    }
+
+    @Test
+    void manyEndlessEventsLeaveMemoryToOthers() throws Exception {
+        holdPartOf("Content-Type: text/event-stream\r\n\r\ndata: " + "x".repeat(1 << 19));
+        assertMemoryIsBounded("/stream/");
+    }
+
+    @Test
+    void manyEndlessHeadsLeaveMemoryToOthers() throws Exception {
+        holdPartOf(("X-More: " + "x".repeat(1000) + "\r\n").repeat(60));
+        assertMemoryIsBounded("/once/");
+    }
+
+    /** Starts a server that answers small requests and sends a part of a response to others, which never ends. */
+    private void holdPartOf(String part) throws Exception {
+        fixture.serve((head, output, socket) -> {
+            String id = id(head);
+            String start = "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: seal\r\n";
+            boolean small = head.contains("/safe/");
+            output.write(ScriptedServer.ascii(start + (small ? "Content-Length: 5\r\n\r\nsmall" : part)));
+            output.flush();
+        });
+    }
+
+    private void assertMemoryIsBounded(String path) throws Exception {
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            String id = "held-" + i;
+            callers.add(new Thread(() -> callIgnoringResponse(path + id, id)));
+        }
+        callers.forEach(Thread::start);
+        long end = System.nanoTime() + MAX_ANSWER_TIME.toNanos();
+        long mostBytes = 0;
+        for (int i = 0; System.nanoTime() < end; i++) {
+            String response = fixture.call("POST", "/safe/small", "small-" + i);
+            assertTrue(response.endsWith("small"), response);
+            long bytes = fixture.context.responseBudget().usedBytes();
+            assertTrue(bytes <= ForwardingFixture.RESPONSE_BYTES / 2, bytes + " bytes are held");
+            mostBytes = Math.max(mostBytes, bytes);
+        }
+        assertTrue(mostBytes > ForwardingFixture.RESPONSE_BYTES / 4, "the limit was not approached: " + mostBytes);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        assertEquals(0, fixture.context.responseBudget().usedBytes());
+    }
+
+    private void callIgnoringResponse(String path, String id) {
+        try {
+            fixture.call("POST", path, id);
+        } catch (IOException e) {
+            // The connection of the caller may be closed instead of a response.
+            return;
+        }
+    }
+
     @Test
     void statusLineWithoutEndIsCut() throws Exception {
         serve("HTTP/1.1 200 ", "x".repeat(1000));
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -36,6 +36,9 @@
 
     static final ServiceName SERVICE = new ServiceName("service");
     private static final ZoneName ZONE = new ZoneName("zone");
+    /** Memory for all responses. */
+    static final long RESPONSE_BYTES = 8 << 20;
+
     private static final int MAX_BODY_BYTES = 10_000;
     private static final int CALLER_TIMEOUT_MILLIS = 5000;
 
@@ -60,6 +63,7 @@
                 new PeerTable(self),
                 new FleetLimits(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
                 Duration.ofMinutes(5),
+                new MemoryLimits(RESPONSE_BYTES),
                 new RouterMetrics());
         callers = new CallerConnections(loop, context);
         address = (InetSocketAddress)
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -32,6 +32,7 @@
 import org.coltsfootquay.protocol.generated.peer.Beacon;
 import org.coltsfootquay.router.forward.FleetLimits;
 import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.forward.MemoryLimits;
 import org.coltsfootquay.router.metrics.RouterMetrics;
 import org.coltsfootquay.router.state.TableWatcher;
 import org.junit.jupiter.api.Test;
@@ -309,6 +310,7 @@
                     peers,
                     limits,
                     Duration.ofMinutes(5),
+                    MemoryLimits.ofHeap(64 << 20),
                     new RouterMetrics());
             TableWatcher watcher = new TableWatcher(null, timers, new Random(1), null, () -> 2);
             CacheViewBootstrap cacheBootstrap = new CacheViewBootstrap(self.zone(), forwarding, null, timers);
--- a/router/src/test/java/org/coltsfootquay/router/node/CacheViewBootstrapTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/CacheViewBootstrapTest.java
@@ -25,6 +25,7 @@
 import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.forward.FleetLimits;
 import org.coltsfootquay.router.forward.ForwardingContext;
+import org.coltsfootquay.router.forward.MemoryLimits;
 import org.coltsfootquay.router.forward.PromptCacheUpdate;
 import org.coltsfootquay.router.metrics.RouterMetrics;
 import org.coltsfootquay.router.neighbor.TableCopyExchange;
@@ -132,6 +133,7 @@
                     new PeerTable(unbound),
                     new FleetLimits(0.2, 50, Duration.ofSeconds(10), 1.5, 5),
                     Duration.ofMinutes(5),
+                    MemoryLimits.ofHeap(64 << 20),
                     new RouterMetrics());
             TableCopyExchange copyExchange =
                     new TableCopyExchange(loop, watcher, () -> CacheViewBootstrap.snapshot(forwarding));
--- a/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
@@ -37,6 +37,28 @@
         assertTrue(error.getMessage().contains("maxServerPause"), error.getMessage());
     }
 
+    @Test
+    void memoryForResponsesIsAnEighthOfTheHeapByDefault() throws SettingsException {
+        assertEquals(
+                Runtime.getRuntime().maxMemory() / 8, read("").memoryLimits().responseBytes());
+    }
+
+    @Test
+    void memoryForResponsesIsRead() throws SettingsException {
+        assertEquals(
+                3_000_000,
+                read(", \"memory\": {\"responseBytes\": 3000000}")
+                        .memoryLimits()
+                        .responseBytes());
+    }
+
+    @Test
+    void memoryForResponsesAboveHalfOfTheHeapIsRejected() {
+        SettingsException error =
+                assertThrows(SettingsException.class, () -> read(", \"memory\": {\"responseBytes\": 900000000000000}"));
+        assertTrue(error.getMessage().contains("memory.responseBytes"), error.getMessage());
+    }
+
     private static NodeSettings read(String more) throws SettingsException {
         return SettingsReader.read("test", SETTINGS.formatted(more), NodeSettings::read);
     }
