Bound the memory that the bodies of all requests take together

Cause: each body was bounded, all together by nothing; a rejected upload had its connection closed with unread bytes. Why this works: a body that finds no room is rejected as not run before it is read, and its caller gets the response, since the rest of the body is read and discarded before the connection is closed.

--- a/decision/src/main/java/org/coltsfootquay/decision/memory/ByteBudget.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/memory/ByteBudget.java
@@ -14,7 +14,8 @@
  *
  * <p>A service may hold as much as it leaves free for all others: one greedy service gets half of the budget, the next
  * one a quarter, and there is always room for a further one. When a service has reached its limit, its largest message
- * that may be evicted makes room for its other messages.
+ * that may be evicted makes room for its other messages. A message that is never evicted leaves half of the room of its
+ * service to smaller ones.
  */
 public final class ByteBudget {
 
@@ -64,7 +65,8 @@
     /** Changes what a message holds; returns false, and changes nothing, if there is no room. */
     boolean resize(HeldBytes message, long bytes) {
         long added = bytes - message.bytes();
-        while (added > 0 && serviceBytes(message.service()) + added > totalBytes - usedBytes - added) {
+        long required = message.evictable() ? added : 2 * added;
+        while (added > 0 && required > room(message.service())) {
             Optional<HeldBytes> largest = largestEvictable(message.service());
             if (largest.isEmpty() || largest.get() == message || largest.get().bytes() <= bytes) {
                 return false;
@@ -88,6 +90,11 @@
         return true;
     }
 
+    /** Returns the bytes that a service may take in addition, so that it then holds what it leaves free. */
+    private long room(ServiceName service) {
+        return (totalBytes - usedBytes - serviceBytes(service)) / 2;
+    }
+
     private long serviceBytes(ServiceName service) {
         return holders.getOrDefault(service, Set.of()).stream()
                 .mapToLong(HeldBytes::bytes)
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -21,11 +22,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.memory.HeldBytes;
 import org.coltsfootquay.decision.route.Access;
 import org.coltsfootquay.decision.route.RoutingConfiguration;
@@ -44,6 +45,15 @@
 
     private static final String STOPPING = "stopping";
 
+    /** Account of small bodies and of requests without a service; reading their heads twice would cost more. */
+    private static final ServiceName SMALL_BODIES = new ServiceName("small bodies");
+
+    /** Size of a body above which its service is looked up before it is received. */
+    private static final int MAX_SMALL_BODY_BYTES = 64 << 10;
+
+    /** Time for which the rest of a rejected request is read and discarded. */
+    private static final Duration MAX_DISCARD_TIME = Duration.ofSeconds(2);
+
     /** Maximum number of pipelined requests that wait for the response to an earlier request. */
     private static final int MAX_PIPELINED = 8;
 
@@ -55,7 +65,9 @@
     private final Deque<BufferedRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext channelContext;
     private HttpRequest head;
-    private ByteArrayOutputStream body;
+    private BodyBuffer body;
+    private HeldBytes heldBody;
+    private BufferedRequest currentRequest;
     private RequestRelay currentRelay;
     private boolean busy;
     private boolean keepAlive;
@@ -113,7 +125,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.remove(this);
+        pipelined.forEach(request -> request.held().release());
         pipelined.clear();
+        releaseBody();
+        releaseRequest();
         if (currentRelay != null) {
             currentRelay.callerDisconnected();
             currentRelay = null;
@@ -158,8 +173,18 @@
                     tooLong ? "headers_too_large" : "malformed_request");
             return;
         }
+        long length = HttpUtil.getContentLength(request, 0L);
+        if (length > connections.maxBodyBytes()) {
+            rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+            return;
+        }
+        boolean small = length <= MAX_SMALL_BODY_BYTES && !HttpUtil.isTransferEncodingChunked(request);
+        heldBody = context.requestBudget().open(small ? SMALL_BODIES : serviceOf(request));
+        if (!holdBody(length)) {
+            return;
+        }
         head = request;
-        body = new ByteArrayOutputStream();
+        body = new BodyBuffer((int) length);
         if (HttpUtil.is100ContinueExpected(request)) {
             ChannelUtils.send(
                     channelContext.channel(),
@@ -181,27 +206,78 @@
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
             return;
         }
-        byte[] bytes = new byte[size];
-        content.content().readBytes(bytes);
-        body.writeBytes(bytes);
+        if (!holdBody(body.capacityWith(size))) {
+            return;
+        }
+        body.add(content.content());
         if (content instanceof LastHttpContent) {
             BufferedRequest request =
-                    new BufferedRequest(head.method(), head.uri(), head.headers(), body.toByteArray());
+                    new BufferedRequest(head.method(), head.uri(), head.headers(), body.toByteArray(), heldBody);
             boolean persistent = HttpUtil.isKeepAlive(head);
             HttpRequest requestHead = head;
             head = null;
+            body = null;
+            heldBody = null;
             if (!busy) {
                 start(request, requestHead, persistent);
             } else if (pipelined.size() < MAX_PIPELINED) {
                 pipelined.add(request);
             } else {
+                request.held().release();
                 ChannelUtils.close(channelContext.channel());
             }
         }
     }
 
+    /** Counts the bytes that the body occupies; rejects the request and returns false if there is no room. */
+    private boolean holdBody(long bytes) {
+        boolean held = heldBody.resize(bytes);
+        if (!held) {
+            rejectAndClose(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, "memory_exhausted", Optional.of(RetryAfter.OVERLOAD));
+        }
+        return held;
+    }
+
+    /** Returns the service to which a request is addressed, as far as its head tells. */
+    private ServiceName serviceOf(HttpRequest request) {
+        try {
+            RequestMetadata metadata = context.dialect().readRequest(request);
+            return context.configuration()
+                    .map(configuration -> authorize(configuration, request.uri(), metadata))
+                    .filter(Access.Allowed.class::isInstance)
+                    .map(access -> ((Access.Allowed) access).route().serviceFor(RequestRelay.hashOf(metadata)))
+                    .orElse(SMALL_BODIES);
+        } catch (MalformedRequestException e) {
+            // The complete request is rejected with the reason.
+            return SMALL_BODIES;
+        }
+    }
+
+    private static Access authorize(RoutingConfiguration configuration, String uri, RequestMetadata metadata) {
+        int query = uri.indexOf('?');
+        return configuration.authorize(
+                metadata.host(),
+                query < 0 ? uri : uri.substring(0, query),
+                metadata.key().orElse(null));
+    }
+
+    private void releaseBody() {
+        if (heldBody != null) {
+            heldBody.release();
+        }
+    }
+
+    private void releaseRequest() {
+        if (currentRequest != null) {
+            currentRequest.held().release();
+            currentRequest = null;
+        }
+    }
+
     private void start(BufferedRequest request, HttpRequest requestHead, boolean persistent) {
         busy = true;
+        currentRequest = request;
         keepAlive = persistent;
         long arrivalNanos = context.timers().nowNanos();
         Runnable start = () -> {
@@ -250,14 +326,7 @@
                     Optional.of(RetryAfter.ROUTER_OVERLOADED));
             return;
         }
-        String path = request.uri();
-        int query = path.indexOf('?');
-        Access access = configuration
-                .get()
-                .authorize(
-                        metadata.host(),
-                        query < 0 ? path : path.substring(0, query),
-                        metadata.key().orElse(null));
+        Access access = authorize(configuration.get(), request.uri(), metadata);
         if (access instanceof Access.Denied denied) {
             boolean unknownRoute = denied.reason() == Access.Reason.UNKNOWN_ROUTE;
             reject(
@@ -301,15 +370,22 @@
     }
 
     private void rejectAndClose(HttpResponseStatus status, String reason) {
+        rejectAndClose(status, reason, Optional.empty());
+    }
+
+    private void rejectAndClose(HttpResponseStatus status, String reason, Optional<Duration> retryAfter) {
         rejected = true;
         keepAlive = false;
+        head = null;
+        body = null;
+        releaseBody();
         if (busy) {
             // Responses are sent in request order, so this one cannot be sent before the earlier one has ended.
             ChannelUtils.close(channelContext.channel());
             return;
         }
         busy = true;
-        reject(status, reason, "", Optional.empty());
+        reject(status, reason, "", retryAfter);
     }
 
     @Override
@@ -352,6 +428,7 @@
     @Override
     public void abort() {
         currentRelay = null;
+        releaseRequest();
         ChannelUtils.close(channelContext.channel());
     }
 
@@ -364,10 +441,27 @@
         }
     }
 
+    /**
+     * Ends the output and discards what the caller still sends, since closing a connection with unread bytes resets it
+     * and the caller might not get its response.
+     */
+    private void closeAfterUnreadBody() {
+        SocketChannel channel = (SocketChannel) channelContext.channel();
+        channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
+            var unused = channel.shutdownOutput();
+        });
+        var unused = context.timers().scheduleOnce("unread body", MAX_DISCARD_TIME, () -> ChannelUtils.close(channel));
+    }
+
     private void responseSent() {
         busy = false;
         currentRelay = null;
+        releaseRequest();
         idleSinceNanos = context.timers().nowNanos();
+        if (rejected) {
+            closeAfterUnreadBody();
+            return;
+        }
         if (!keepAlive) {
             channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -82,6 +82,7 @@
     private final List<Runnable> startupTasks = new ArrayList<>();
     private final Set<Reservation> awaitingFirstEvent = new LinkedHashSet<>();
     private final ByteBudget responseBudget;
+    private final ByteBudget requestBudget;
     private final PartQuarantine quarantine;
     private final CrashDetector crashDetector;
     private Runnable promptSentListener = () -> {};
@@ -123,7 +124,9 @@
         this.metrics = metrics;
         this.eventLoopLag = new EventLoopLag(timers);
         this.responseBudget = new ByteBudget(memoryLimits.responseBytes());
+        this.requestBudget = new ByteBudget(memoryLimits.requestBytes());
         metrics.gauge("coltsfootquay_response_bytes", responseBudget::usedBytes);
+        metrics.gauge("coltsfootquay_request_bytes", requestBudget::usedBytes);
         this.demands = new DemandTracker(timers.nowNanos());
         timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
         timers.schedulePeriodic("idle engines", IDLE_ENGINE_INTERVAL, latencyModel::forgetIdleEngines);
@@ -144,6 +147,11 @@
                 registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
     }
 
+    /** Returns the budget of the bytes that the router holds for the bodies of requests. */
+    ByteBudget requestBudget() {
+        return requestBudget;
+    }
+
     /** Returns the budget of the bytes that the router holds for responses. */
     ByteBudget responseBudget() {
         return responseBudget;
--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -132,8 +132,10 @@
 
     private static MemoryLimits readMemoryLimits(SettingsObject limits) {
         MemoryLimits defaults = defaultMemoryLimits();
-        long max = Runtime.getRuntime().maxMemory() / 2;
-        return new MemoryLimits(limits.number("responseBytes", MIN_MEMORY_BYTES, max, defaults.responseBytes()));
+        long max = Runtime.getRuntime().maxMemory() / 3;
+        return new MemoryLimits(
+                limits.number("responseBytes", MIN_MEMORY_BYTES, max, defaults.responseBytes()),
+                limits.number("requestBytes", MIN_MEMORY_BYTES, max, defaults.requestBytes()));
     }
 
     private static MemoryLimits defaultMemoryLimits() {
