Forget the requests of services that never ask for a retry

Seen by reading (review): the times of requests were dropped only when a retry was asked for, so the list of a service with non-idempotent routes and no refusals grew with each request until the process ended. Evidence: FleetRetryShareTest, 100 requests were kept where the window holds 11. They are dropped with each request now.

--- a/decision/src/main/java/org/coltsfootquay/decision/retry/FleetRetryShare.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/retry/FleetRetryShare.java
@@ -44,7 +44,14 @@
      * @param nowNanos current time
      */
     public void recordRequest(ServiceName service, long nowNanos) {
-        windows.computeIfAbsent(service, name -> new Window()).requests.addLast(nowNanos);
+        Window window = windows.computeIfAbsent(service, name -> new Window());
+        window.drop(nowNanos - windowNanos);
+        window.requests.addLast(nowNanos);
+    }
+
+    /** Returns the number of requests that are kept for a service. */
+    int recordedRequests(ServiceName service) {
+        return windows.getOrDefault(service, new Window()).requests.size();
     }
 
     /**
--- a/decision/src/test/java/org/coltsfootquay/decision/retry/FleetRetryShareTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/retry/FleetRetryShareTest.java
@@ -36,6 +36,16 @@
         assertTrue(retries > 0);
     }
 
+    /** A service that never asks for a retry kept the time of each of its requests until the process ended. */
+    @Test
+    void requestsOfAServiceWithoutRetriesAreForgotten() {
+        FleetRetryShare share = new FleetRetryShare(0.2, 54, WINDOW);
+        for (long now = 0; now < 100 * SECOND; now += SECOND) {
+            share.recordRequest(SERVICE, now);
+        }
+        assertTrue(share.recordedRequests(SERVICE) <= 11, share.recordedRequests(SERVICE) + " requests are kept");
+    }
+
     @Test
     void budgetIsRestoredWhenTheWindowHasPassed() {
         FleetRetryShare share = new FleetRetryShare(0, 2, WINDOW);
