--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -22,9 +22,9 @@
  * in the most crashes explains them, and only the crashes that it leaves unexplained count against the next one. An
  * incarnation of a server crashes once, so that connections to it that break at other times add no further crash.
  *
- * <p>Crashes prove a part only if they happened one after the other, with different requests. Servers that fail together
- * interrupt the same popular parts, and one request that crashes servers takes its sound parts along; the latter is
- * proved by itself, under the key of its last part.
+ * <p>Crashes prove a part only if they happened one after the other, with different requests. Servers that fail at the
+ * same time interrupt the same popular parts, and one request that crashes servers takes its sound parts along; the
+ * latter is proved by itself, under the key of its last part.
  */
 final class CrashEvidence {
 
@@ -38,8 +38,8 @@
     static final int REQUIRED_REQUESTS = 2;
 
     /**
-     * Successive crashes that prove a part which was answered before; it can have become harmful only by a change of the
-     * servers.
+     * Successive crashes that prove a part which was answered before; it can have become harmful only by a change of
+     * the servers.
      */
     static final int REQUIRED_CRASHES_IN_DOUBT = 5;
 
@@ -53,8 +53,8 @@
     static final Duration RETENTION_TIME = Duration.ofHours(1);
 
     /**
-     * Time in which reports of a crash may still arrive; one about an answered part must not start anew. Single requests
-     * count no longer than this, since their callers have left.
+     * Time in which reports of a crash may still arrive; one about an answered part must not start anew. Single
+     * requests count no longer than this, since their callers have left.
      */
     private static final Duration REPETITION_TIME = Duration.ofMinutes(1);
 
