--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -129,7 +129,7 @@
     List<Culprit> culprits(long nowNanos) {
         removeObsolete(nowNanos);
         Set<Incarnation> unexplained = new LinkedHashSet<>(crashes.keySet());
-        List<Culprit> culprits = new ArrayList<>(requests());
+        List<Culprit> culprits = new ArrayList<>(singleRequests());
         Optional<Culprit> next = strongest(unexplained, nowNanos);
         while (next.isPresent()) {
             culprits.add(next.get());
@@ -138,8 +138,8 @@
         return culprits;
     }
 
-    /** Returns the requests that are proved by themselves. */
-    private List<Culprit> requests() {
+    /** Returns the requests to which crashes are attributed, whatever their other parts are. */
+    private List<Culprit> singleRequests() {
         Map<PartKey, Set<Incarnation>> involved = new LinkedHashMap<>();
         crashes.forEach((incarnation, parts) -> parts.forEach((part, involvement) -> {
             if (involvement.requests().contains(part) && !answeredSince(part, involvement.crashNanos())) {
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -132,7 +132,7 @@
     }
 
     /**
-     * Records that a server has answered a request that other requests do not share their last part with.
+     * Records that a server has answered a request and has not crashed by it, if the request is suspected by itself.
      *
      * @param request key of the last part of its prompt
      * @param nowNanos current time
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -17,7 +16,6 @@
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.latency.FirstEventObservation;
-import org.coltsfootquay.decision.memory.HeldBytes;
 import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.decision.route.Route;
@@ -84,10 +82,7 @@
     private ScheduledTask responseTimer;
     private SelectedServer selectedServer;
     private ServerConnection connection;
-    private HttpResponse responseHead;
-    private ResponseMetadata responseMetadata;
-    private BodyBuffer responseBody;
-    private HeldBytes heldResponse;
+    private ReceivedResponse response;
     private EventSplitter eventSplitter;
     private String streamMediaType;
     private int acquireFailures;
@@ -288,10 +283,9 @@
         connection = serverConnection;
         sends++;
         unresolvedSends++;
-        heldResponse = context.responseBudget().open(service.name(), this::responseEvicted);
+        response = new ReceivedResponse(context.responseBudget().open(service.name(), this::responseEvicted));
         triedServers.add(target.server());
         promptParts.sent();
-        responseHead = null;
         Duration remaining = Duration.ofNanos(Math.max(1, deadlineNanos - now));
         Optional<String> resumeAfter = eventSplitter == null ? Optional.empty() : eventSplitter.lastId();
         ForwardMetadata forwardMetadata = new ForwardMetadata(target, remaining, workspace, resumeAfter);
@@ -321,7 +315,7 @@
 
     /** Counts the bytes that the response occupies; gives it up and returns false if there is no room. */
     private boolean holdResponse(int bytes) {
-        boolean held = heldResponse.resize(bytes);
+        boolean held = response.hold(bytes);
         if (!held) {
             abandonResponse(MEMORY_EXHAUSTED);
         }
@@ -329,13 +323,11 @@
     }
 
     @Override
-    public void responseStarted(HttpResponse response, ResponseMetadata parsedMetadata) {
-        responseHead = response;
-        responseMetadata = parsedMetadata;
-        responseBody = new BodyBuffer(0);
+    public void responseStarted(HttpResponse head, ResponseMetadata parsedMetadata) {
+        response.start(head, parsedMetadata);
         context.noticeRecorder()
-                .responseReceived(selectedServer.entry(), requestMetadata.requestId(), response, parsedMetadata);
-        boolean successful = response.status().codeClass() == HttpStatusClass.SUCCESS;
+                .responseReceived(selectedServer.entry(), requestMetadata.requestId(), head, parsedMetadata);
+        boolean successful = response.successful();
         if (successful && (!parsedMetadata.signed() || parsedMetadata.contentEncoded())) {
             connection.discard();
             responseFailed("unsigned_answer");
@@ -344,14 +336,14 @@
         if (successful && route.kind() == RouteKind.STREAM) {
             cancelResponseTimer();
             if (streaming) {
-                if (!HeaderUtils.mediaType(response.headers()).equals(streamMediaType)) {
+                if (!HeaderUtils.mediaType(head.headers()).equals(streamMediaType)) {
                     abandonResponse("resumed_without_stream");
                 }
             } else {
                 streaming = true;
-                streamMediaType = HeaderUtils.mediaType(response.headers());
+                streamMediaType = HeaderUtils.mediaType(head.headers());
                 eventSplitter = new EventSplitter();
-                caller.startResponse(response.status(), HeaderUtils.copyEndToEnd(response.headers()));
+                caller.startResponse(head.status(), HeaderUtils.copyEndToEnd(head.headers()));
             }
         }
     }
@@ -359,12 +351,10 @@
     @Override
     public void bodyReceived(ByteBuf bytes) {
         if (!succeeding()) {
-            if (responseBody.size() + bytes.readableBytes() > responseLimits().bodyBytes()) {
+            if (response.bodySize() + bytes.readableBytes() > responseLimits().bodyBytes()) {
                 abandonResponse("endless_body");
-                return;
-            }
-            if (holdResponse(responseBody.capacityWith(bytes.readableBytes()))) {
-                responseBody.add(bytes);
+            } else if (!response.addToBody(bytes)) {
+                abandonResponse(MEMORY_EXHAUSTED);
             }
             return;
         }
@@ -436,7 +426,7 @@
             responseFailed("truncated_event");
             return;
         }
-        if (!HeaderUtils.endsWithConnection(responseHead)) {
+        if (!response.endsWithConnection()) {
             handleCompleteResponse();
             return;
         }
@@ -455,7 +445,7 @@
 
     /** Returns whether the current response continues the stream of the caller. */
     private boolean succeeding() {
-        return streaming && responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+        return streaming && response.successful();
     }
 
     /** Returns whether the stream of the caller is not declared as anything but server-sent events. */
@@ -465,7 +455,7 @@
 
     private void handleCompleteResponse() {
         ServerName server = selectedServer.entry().server();
-        HttpResponseStatus status = responseHead.status();
+        HttpResponseStatus status = response.status();
         if (succeeding()) {
             if (eventSplitter.incompleteBytes() > 0) {
                 caller.writeBody(eventSplitter.takeIncomplete());
@@ -478,7 +468,7 @@
             finish("served", status.code());
             return;
         }
-        ResponseOutcome outcome = ResponseOutcome.of(status, responseMetadata);
+        ResponseOutcome outcome = response.outcome();
         if (outcome == ResponseOutcome.NOT_EXECUTED) {
             handleNotExecuted(server, status);
             return;
@@ -492,17 +482,15 @@
         } else if (outcome == ResponseOutcome.UNCONFIRMED_REFUSAL) {
             sendError(HttpResponseStatus.BAD_GATEWAY, Optional.empty(), "unconfirmed_refusal");
         } else {
-            heldResponse.pin();
-            caller.sendResponse(
-                    status, HeaderUtils.copyEndToEnd(responseHead.headers()), responseBody.toByteArray(), heldResponse);
-            heldResponse = null;
+            response.sendTo(caller);
+            response = null;
             finish("served", status.code());
         }
     }
 
     private void recordOutcome(ServerName server, boolean failed) {
         if (!failed) {
-            if (responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
+            if (response.successful()) {
                 promptParts.responseCompleted();
             }
             context.health().recordResponse(server, true, now());
@@ -654,8 +642,8 @@
     }
 
     private void releaseResponse() {
-        if (heldResponse != null) {
-            heldResponse.release();
+        if (response != null) {
+            response.release();
         }
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconSplitter.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconSplitter.java
@@ -15,8 +15,8 @@
 /**
  * Splits beacons into messages that fit into one datagram each; not thread-safe.
  *
- * <p>Entries are taken in the order of their importance: crashes and answers, loads, prompt parts, demands. What does not
- * fit into the maximum number of datagrams is omitted.
+ * <p>Entries are taken in the order of their importance: crashes and answers, loads, prompt parts, demands. What does
+ * not fit into the maximum number of datagrams is omitted.
  */
 final class BeaconSplitter {
 
--- a/router/src/test/java/org/coltsfootquay/router/forward/UploadTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/UploadTest.java
@@ -93,12 +93,10 @@
     @Test
     void uploadInChunksIsCounted() throws Exception {
         try (Socket socket = fixture.connect()) {
+            String head = "POST /safe/a HTTP/1.1\r\nHost: host\r\nX-Id: c\r\nX-Key: good\r\n";
+            String chunk = "8000\r\n" + "x".repeat(0x8000) + "\r\n";
             socket.getOutputStream()
-                    .write(
-                            "POST /safe/a HTTP/1.1\r\nHost: host\r\nX-Id: c\r\nX-Key: good\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                    .getBytes(StandardCharsets.US_ASCII));
-            socket.getOutputStream()
-                    .write(("8000\r\n" + "x".repeat(0x8000) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                    .write((head + "Transfer-Encoding: chunked\r\n\r\n" + chunk).getBytes(StandardCharsets.US_ASCII));
             String response = fixture.callWithBody("/safe/small", "small", 1000);
             assertTrue(response.endsWith("ok"), response);
             assertTrue(fixture.requestBytes() >= 0x8000, fixture.requestBytes() + " bytes are held");
