Finish the response in progress before a rejected request closes the connection

Callers would see: the response to one request cut off because the next one on the connection is malformed, too large or finds no memory. Cause: a rejection that cannot be sent yet closed the connection at once. Evidence: UploadTest.rejectedUploadDoesNotCutOffTheRequestBefore failed before.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -380,8 +380,7 @@
         body = null;
         releaseBody();
         if (busy) {
-            // Responses are sent in request order, so this one cannot be sent before the earlier one has ended.
-            ChannelUtils.close(channelContext.channel());
+            // Responses are sent in request order; the connection is closed after the response in progress.
             return;
         }
         busy = true;
--- a/router/src/test/java/org/coltsfootquay/router/forward/UploadTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/UploadTest.java
@@ -20,6 +20,9 @@
     private static final int UPLOAD_BYTES = 4 << 20;
     private static final int UPLOADS = 40;
 
+    /** Longer than the next request takes to arrive, shorter than the time after which a request is repeated. */
+    private static final long SLOW_MILLIS = 100;
+
     private ForwardingFixture fixture;
 
     @BeforeEach
@@ -27,6 +30,9 @@
         fixture = new ForwardingFixture().withConfiguration(UPLOAD_BYTES);
         fixture.serve((head, output, socket) -> {
             String id = head.replaceAll("(?s).*X-Id: (\\S+).*", "$1");
+            if (head.contains("/slow")) {
+                Thread.sleep(SLOW_MILLIS);
+            }
             output.write(ScriptedServer.ascii(
                     "HTTP/1.1 200 X\r\nX-Id: " + id + "\r\nX-Seal: seal\r\nContent-Length: 2\r\n\r\nok"));
         });
@@ -112,6 +118,15 @@
         assertTrue(response.startsWith("HTTP/1.1 413"), response);
     }
 
+    /** The connection was closed while the response to the request before was in progress. */
+    @Test
+    void rejectedUploadDoesNotCutOffTheRequestBefore() throws Exception {
+        String head = " HTTP/1.1\r\nHost: host\r\nX-Key: good\r\nX-Id: ";
+        String response = fixture.sendRaw("POST /safe/slow" + head + "first\r\nContent-Length: 0\r\n\r\n"
+                + "POST /safe/large" + head + "second\r\nContent-Length: " + (UPLOAD_BYTES + 1) + "\r\n\r\n");
+        assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("ok"), response);
+    }
+
     private void awaitReleasedBytes() throws Exception {
         long end = System.nanoTime() + java.time.Duration.ofSeconds(2).toNanos();
         while (fixture.requestBytes() > 0 && System.nanoTime() < end) {
