--- a/decision/src/main/java/org/coltsfootquay/decision/memory/ByteBudget.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/memory/ByteBudget.java
@@ -36,7 +36,7 @@
      * Starts to account for a message that holds nothing yet.
      *
      * @param service service that receives or sends the message
-     * @param eviction called when the message has to make room; releases its bytes
+     * @param eviction called when the message has made room for another one; its bytes are released by then
      * @return account of the message
      */
     public HeldBytes open(ServiceName service, Runnable eviction) {
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/Involvement.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/Involvement.java
@@ -50,9 +50,9 @@
     }
 
     /**
-     * Counts the crashes that happened one after the other, each to a request that was sent after the crash before or
-     * that had been on the server before. Servers that crash at the same moment, for example with their zone, take the
-     * requests of that moment with them and count once.
+     * Counts the crashes that happened one after the other: each interrupted a request that was sent after the crash
+     * before, or one that the crash before had interrupted too. Servers that crash at the same moment, for example with
+     * their zone, interrupt the requests of that moment and count once.
      *
      * @param involvements involvements of one part in different crashes
      * @return number of crashes in the sequence
