Log what a server connection carried when its response is broken

It now has the number of the connection, the requests sent on it, the bytes received since the current one, how many responses to other requests came before and the id of the last, and what cannot be read. request_sent has the number of the connection too. Bytes without a request in progress, which left no trace unless they completed a head, are logged as unexpected_bytes.

--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -60,13 +60,21 @@
         LOG.warn("server_unreachable", "request", requestId, "server", server, "reason", reason);
     }
 
-    void sent(SelectedServer selectedServer, long missedTokens, int send, int load, long configuration) {
+    void sent(
+            SelectedServer selectedServer,
+            ServerConnection connection,
+            long missedTokens,
+            int send,
+            int load,
+            long configuration) {
         LOG.info(
                 "request_sent",
                 "request",
                 requestId,
                 "server",
                 selectedServer.entry().server(),
+                "connection",
+                connection.number(),
                 "send",
                 send,
                 "expectedMs",
@@ -83,7 +91,7 @@
                 configuration);
     }
 
-    void responseFailed(ServerName server, String cause, Optional<String> lastEvent) {
+    void responseFailed(ServerName server, String cause, Optional<String> lastEvent, ConnectionTrace trace) {
         LOG.warn(
                 "answer_broken",
                 "request",
@@ -93,7 +101,19 @@
                 "cause",
                 cause,
                 "events",
-                lastEvent.orElse(NONE));
+                lastEvent.orElse(NONE),
+                "connection",
+                trace.connection(),
+                "requests",
+                trace.requests(),
+                "bytes",
+                trace.receivedBytes(),
+                "otherResponses",
+                trace.otherResponses(),
+                "otherRequest",
+                trace.otherRequest().isEmpty() ? NONE : trace.otherRequest(),
+                "defect",
+                trace.defect().isEmpty() ? NONE : trace.defect());
     }
 
     void serverRefused(ServerName server, int status) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -82,6 +82,9 @@
     private ScheduledTask responseTimer;
     private SelectedServer selectedServer;
     private ServerConnection connection;
+    /** Connection of the last send, also after the response. */
+    private ServerConnection sentConnection;
+
     private ReceivedResponse response;
     private EventSplitter eventSplitter;
     private String streamMediaType;
@@ -281,6 +284,7 @@
             return;
         }
         connection = serverConnection;
+        sentConnection = serverConnection;
         sends++;
         unresolvedSends++;
         response = new ReceivedResponse(context.responseBudget().open(service.name(), this::responseEvicted));
@@ -300,6 +304,7 @@
         Prompt prompt = requestMetadata.prompt();
         log.sent(
                 selectedServer,
+                serverConnection,
                 Math.max(0, selectedServer.prefillTokens() - (prompt.tokens() - prompt.sharedTokens())),
                 sends,
                 context.loads().totalLoad(target.server()).requests(),
@@ -360,7 +365,8 @@
         }
         byte[] completeEvents = eventSplitter.add(bytes);
         if (eventSplitter.outOfOrder()) {
-            log.responseFailed(selectedServer.entry().server(), "event_order", eventSplitter.lastId());
+            log.responseFailed(
+                    selectedServer.entry().server(), "event_order", eventSplitter.lastId(), sentConnection.trace());
             abortStream("event_order");
             return;
         }
@@ -510,7 +516,8 @@
         releaseResponse();
         cancelResponseTimer();
         context.health().recordResponse(server, false, now());
-        log.responseFailed(server, cause, streaming ? eventSplitter.lastId() : Optional.empty());
+        log.responseFailed(
+                server, cause, streaming ? eventSplitter.lastId() : Optional.empty(), sentConnection.trace());
         if (!"reset".equals(cause) && !"closed".equals(cause)) {
             retryOrFail(cause);
             return;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.log.EventLog;
 
 /**
  * Connection to a backend server that carries one request at a time.
@@ -31,6 +32,8 @@
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
+    private static final EventLog LOG = EventLog.of(ServerConnection.class);
+
     /** Idle time for a server that sends no keep-alive timeout; short, since the server's own timeout is unknown. */
     private static final long DEFAULT_MAX_IDLE_NANOS = 4_000_000_000L;
 
@@ -38,10 +41,12 @@
     private static final long IDLE_TIMEOUT_MARGIN_NANOS = 700_000_000L;
 
     private static final long SECOND_NANOS = 1_000_000_000L;
+    private static final long MILLI_NANOS = 1_000_000L;
 
     private final BackendEntry server;
     private final ServerConnectionPool pool;
     private final RequestDialect dialect;
+    private final long number;
     private ChannelHandlerContext channelContext;
     private ServerResponseListener listener;
     private String requestId = "";
@@ -55,11 +60,35 @@
     private String failureCause;
     private long maxIdleNanos = DEFAULT_MAX_IDLE_NANOS;
     private long idleSinceNanos;
+    private int requests;
+    private long receivedBytes;
+    private int otherResponses;
+    private String otherRequest = "";
+    private String defect = "";
 
-    ServerConnection(BackendEntry server, ServerConnectionPool pool, RequestDialect dialect) {
+    /**
+     * Creates a connection that is not yet open.
+     *
+     * @param server server
+     * @param pool pool of the connection
+     * @param dialect header mapping of the platform
+     * @param number number of the connection, for the log
+     */
+    ServerConnection(BackendEntry server, ServerConnectionPool pool, RequestDialect dialect, long number) {
         this.server = server;
         this.pool = pool;
         this.dialect = dialect;
+        this.number = number;
+    }
+
+    /** Returns the number of the connection, unique in this process. */
+    long number() {
+        return number;
+    }
+
+    /** Returns what the connection has carried. */
+    ConnectionTrace trace() {
+        return new ConnectionTrace(number, requests, receivedBytes, otherResponses, otherRequest, defect);
     }
 
     BackendEntry server() {
@@ -89,6 +118,10 @@
         discarding = false;
         responseStarted = false;
         headBytes = 0;
+        requests++;
+        receivedBytes = 0;
+        otherResponses = 0;
+        otherRequest = "";
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body), headers, new DefaultHttpHeaders());
         if (body.length > 0 || !method.equals(HttpMethod.GET)) {
@@ -99,7 +132,12 @@
 
     /** Counts received bytes and closes the connection if no response has begun within the limit. */
     void bytesReceived(int bytes) {
-        if (listener == null || responseStarted) {
+        receivedBytes += bytes;
+        if (listener == null) {
+            logUnexpectedBytes(bytes);
+            return;
+        }
+        if (responseStarted) {
             return;
         }
         if (headBytes > pool.responseLimits().headBytes()) {
@@ -175,8 +213,26 @@
         ctx.fireChannelWritabilityChanged();
     }
 
+    private void logUnexpectedBytes(int bytes) {
+        LOG.warn(
+                "unexpected_bytes",
+                "server",
+                server.server(),
+                "connection",
+                number,
+                "requests",
+                requests,
+                "lastRequest",
+                requestId,
+                "idleMs",
+                (System.nanoTime() - idleSinceNanos) / MILLI_NANOS,
+                "bytes",
+                bytes);
+    }
+
     private void readResponseHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            defect = String.valueOf(response.decoderResult().cause().getMessage());
             fail("unreadable_answer");
             ChannelUtils.close(channelContext.channel());
             return;
@@ -194,6 +250,8 @@
         }
         discarding = !metadata.requestId().equals(requestId);
         if (discarding) {
+            otherResponses++;
+            otherRequest = metadata.requestId();
             return;
         }
         responseStarted = true;
@@ -217,6 +275,7 @@
 
     private void readBody(HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            defect = String.valueOf(content.decoderResult().cause().getMessage());
             fail("unreadable_body");
             ChannelUtils.close(channelContext.channel());
             return;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -134,8 +134,8 @@
     }
 
     private void connect(BackendEntry server, Consumer<ServerConnection> onConnected, Consumer<String> onFailure) {
-        ServerConnection connection = new ServerConnection(server, this, dialect);
         openedCount++;
+        ServerConnection connection = new ServerConnection(server, this, dialect, openedCount);
         ChannelUtils.probeIdle(new Bootstrap(), KEEP_ALIVE_PROBE_COUNT)
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
