Reject responses that are joined with a late response of their connection

Cause: a connection to a server was taken for clean as long as no decoded object arrived between two requests. A late response that stopped within its head left no object; its bytes waited in the decoder, and the next response was appended to them. The lenient decoder read one head with the status of the first response and the id, seal and body of the second, and only the id was compared. In the same way the body of a late response could swallow the next response, and the second response to a request could complete the body of the first.

Change: connections use StrictResponseDecoder, which refuses a head that holds a second status line. Bytes without a request in progress close their connection at once, also if they complete nothing. A response to another request is discarded as before, but a status line within its body shows that the expected response is being swallowed, and the request is repeated or ends with 502 at once. A head with the id of the request within the body of its own response breaks that response. All are counted and logged.

--- a/router/src/main/java/org/coltsfootquay/router/channel/StatusLineScanner.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/StatusLineScanner.java
@@ -18,6 +18,7 @@
     static final int PATTERN_BYTES = PATTERN.length();
 
     private int matchedBytes;
+    private int endIndex = -1;
 
     /**
      * Scans the readable bytes of the next buffer and leaves its indexes unchanged.
@@ -45,10 +46,31 @@
                 matchedBytes = next == 'H' ? 1 : 0;
             }
             index++;
+            if (found()) {
+                endIndex = index;
+            }
         }
         return found();
     }
 
+    /**
+     * Returns whether the scanned bytes end with a beginning of a status line.
+     *
+     * @return true if the next bytes may complete a status line
+     */
+    public boolean withinStatusLine() {
+        return matchedBytes > 0 && !found();
+    }
+
+    /**
+     * Returns where the status line ends.
+     *
+     * @return index after its last scanned byte, in the buffer that completed it; -1 if none was found
+     */
+    public int endIndex() {
+        return endIndex;
+    }
+
     /**
      * Returns whether a status line was found.
      *
--- a/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
@@ -40,6 +40,9 @@
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
 
+    /** First byte of the status line. */
+    private static final byte FIRST_BYTE = 'H';
+
     /** Part of a response that the next byte belongs to. */
     private enum Part {
         NONE,
@@ -80,6 +83,25 @@
         return part != Part.NONE || actualReadableBytes() > 0;
     }
 
+    /**
+     * Returns the size of the input that is not decoded yet.
+     *
+     * @return number of bytes
+     */
+    public int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    /**
+     * Returns whether there is input that is not decoded yet and cannot be the beginning of a response.
+     *
+     * @return true if such input follows the last decoded object
+     */
+    public boolean undecodedIsNoResponse() {
+        return actualReadableBytes() > 0
+                && internalBuffer().getByte(internalBuffer().readerIndex()) != FIRST_BYTE;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (part == Part.REJECTED) {
@@ -89,7 +111,7 @@
         if (part == Part.NONE && in.isReadable()) {
             part = Part.HEAD;
             scanner = null;
-            if (in.getByte(in.readerIndex()) != 'H') {
+            if (in.getByte(in.readerIndex()) != FIRST_BYTE) {
                 in.skipBytes(in.readableBytes());
                 reject(out, out.size(), "bytes before the status line");
                 return;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -21,14 +21,17 @@
 import io.netty.util.ReferenceCountUtil;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.channel.StatusLineScanner;
+import org.coltsfootquay.router.channel.StrictResponseDecoder;
 import org.coltsfootquay.router.log.EventLog;
 
 /**
  * Connection to a backend server that carries one request at a time.
  *
- * <p>Runs on the event loop of its channel. A response with the id of another request is discarded and the connection
- * keeps waiting, since servers may send an extra response before the expected one. A response without an id cannot be
- * attributed to any request, so it breaks the connection.
+ * <p>Runs on the event loop of its channel. A whole response with the id of another request is discarded and the
+ * connection keeps waiting, since servers may send an extra response before the expected one. Whatever shows that the
+ * bounds of a response are not where they seem to be breaks the connection: a response without an id, bytes without a
+ * request in progress, and the beginning of a response within another one.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
@@ -47,11 +50,14 @@
     private final ServerConnectionPool pool;
     private final RequestDialect dialect;
     private final long number;
+    private final StrictResponseDecoder decoder;
     private ChannelHandlerContext channelContext;
     private ServerResponseListener listener;
     private String requestId = "";
     private ChannelFuture writeFuture;
     private boolean discarding;
+    private StatusLineScanner discardedBody = new StatusLineScanner();
+    private RepeatedHeadDetector repeatedHead = new RepeatedHeadDetector("");
     private boolean responseStarted;
     private int headBytes;
     private boolean reusable;
@@ -73,12 +79,19 @@
      * @param pool pool of the connection
      * @param dialect header mapping of the platform
      * @param number number of the connection, for the log
+     * @param decoder decoder of the responses
      */
-    ServerConnection(BackendEntry server, ServerConnectionPool pool, RequestDialect dialect, long number) {
+    ServerConnection(
+            BackendEntry server,
+            ServerConnectionPool pool,
+            RequestDialect dialect,
+            long number,
+            StrictResponseDecoder decoder) {
         this.server = server;
         this.pool = pool;
         this.dialect = dialect;
         this.number = number;
+        this.decoder = decoder;
     }
 
     /** Returns the number of the connection, unique in this process. */
@@ -117,6 +130,7 @@
         requestId = id;
         discarding = false;
         responseStarted = false;
+        repeatedHead = new RepeatedHeadDetector(id);
         headBytes = 0;
         requests++;
         receivedBytes = 0;
@@ -130,11 +144,14 @@
         writeFuture = channelContext.writeAndFlush(request);
     }
 
-    /** Counts received bytes and closes the connection if no response has begun within the limit. */
+    /**
+     * Counts received bytes; closes the connection if there is no request in progress or if no response has begun within
+     * the limit.
+     */
     void bytesReceived(int bytes) {
         receivedBytes += bytes;
         if (listener == null) {
-            logUnexpectedBytes(bytes);
+            unexpectedBytesReceived(bytes);
             return;
         }
         if (responseStarted) {
@@ -173,11 +190,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (listener == null) {
-                // Bytes that arrive without a request in progress do not belong to any response.
-                failureCause = "unexpected_bytes";
-                ChannelUtils.close(ctx.channel());
-            } else if (message instanceof HttpResponse response) {
+            if (listener != null && message instanceof HttpResponse response) {
                 readResponseHead(response);
             }
             if (listener != null && message instanceof HttpContent content) {
@@ -213,7 +226,13 @@
         ctx.fireChannelWritabilityChanged();
     }
 
-    private void logUnexpectedBytes(int bytes) {
+    /** Gives up a connection on which bytes have arrived that belong to no response. */
+    private void unexpectedBytesReceived(int bytes) {
+        if (!channelContext.channel().isActive()) {
+            return;
+        }
+        pool.unsolicitedBytesReceived();
+        ChannelUtils.close(channelContext.channel());
         LOG.warn(
                 "unexpected_bytes",
                 "server",
@@ -232,9 +251,8 @@
 
     private void readResponseHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            defect = String.valueOf(response.decoderResult().cause().getMessage());
-            fail("unreadable_answer");
-            ChannelUtils.close(channelContext.channel());
+            desynchronized(
+                    "unreadable_answer", response.decoderResult().cause().getMessage());
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -244,14 +262,15 @@
         ResponseMetadata metadata = dialect.readResponse(response);
         if (metadata.requestId().isEmpty() && !requestId.isEmpty()) {
             // It may answer an earlier request; as a refusal, it would be no promise for this one.
-            fail("unidentified_answer");
-            ChannelUtils.close(channelContext.channel());
+            desynchronized("unidentified_answer", "no request id");
             return;
         }
         discarding = !metadata.requestId().equals(requestId);
         if (discarding) {
             otherResponses++;
             otherRequest = metadata.requestId();
+            discardedBody = new StatusLineScanner();
+            pool.unsolicitedBytesReceived();
             return;
         }
         responseStarted = true;
@@ -275,16 +294,24 @@
 
     private void readBody(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            defect = String.valueOf(content.decoderResult().cause().getMessage());
-            fail("unreadable_body");
-            ChannelUtils.close(channelContext.channel());
+            desynchronized("unreadable_body", content.decoderResult().cause().getMessage());
+            return;
+        }
+        ByteBuf bytes = content.content();
+        if (discarding) {
+            if (discardedBody.scan(bytes)) {
+                desynchronized("swallowed_answer", "status line within a response to another request");
+            }
+            return;
+        }
+        if (!responseStarted) {
             return;
         }
         boolean last = content instanceof LastHttpContent;
-        if (discarding || !responseStarted) {
+        if (repeatedHead.scan(bytes) || (last && repeatedHead.withinHead() && decoder.undecodedIsNoResponse())) {
+            desynchronized("joined_answer", "head of a second response within the body");
             return;
         }
-        ByteBuf bytes = content.content();
         if (bytes.isReadable()) {
             listener.bodyReceived(bytes);
         }
@@ -302,9 +329,12 @@
         ServerResponseListener finished = listener;
         listener = null;
         channelContext.channel().config().setAutoRead(true);
+        idleSinceNanos = System.nanoTime();
+        if (decoder.withinMessage()) {
+            unexpectedBytesReceived(decoder.undecodedBytes());
+        }
         // A server may respond before it has read the complete request; such a connection is not reused.
         if (reusable && writeFuture.isSuccess() && channelContext.channel().isActive()) {
-            idleSinceNanos = System.nanoTime();
             pool.release(this);
         } else {
             ChannelUtils.close(channelContext.channel());
@@ -312,6 +342,14 @@
         finished.responseCompleted();
     }
 
+    /** Gives up a connection on which the bounds of the responses are not known. */
+    private void desynchronized(String cause, String foundDefect) {
+        defect = String.valueOf(foundDefect);
+        pool.unsolicitedBytesReceived();
+        fail(cause);
+        ChannelUtils.close(channelContext.channel());
+    }
+
     private void fail(String cause) {
         failureCause = cause;
         if (listener != null) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,6 +18,7 @@
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.channel.StrictResponseDecoder;
 
 /** Pool of persistent connections to backend servers; runs on one event loop. */
 public final class ServerConnectionPool {
@@ -40,6 +40,7 @@
     private final Map<ServerName, Deque<ServerConnection>> idle = new HashMap<>();
     private final Map<ServerName, Integer> open = new HashMap<>();
     private long openedCount;
+    private long unsolicitedCount;
 
     /**
      * Creates an empty pool.
@@ -76,6 +77,15 @@
         return open.getOrDefault(server, 0);
     }
 
+    /**
+     * Returns how often servers have sent bytes that belong to no request in progress.
+     *
+     * @return count
+     */
+    public long unsolicitedCount() {
+        return unsolicitedCount;
+    }
+
     /** Returns the limits of responses. */
     ResponseLimits responseLimits() {
         return responseLimits;
@@ -97,6 +107,11 @@
         connect(server, onConnected, onFailure);
     }
 
+    /** Records that a server has sent bytes that belong to no request. */
+    void unsolicitedBytesReceived() {
+        unsolicitedCount++;
+    }
+
     /** Closes the idle connections to a server. */
     void closeIdle(ServerName server) {
         Deque<ServerConnection> idleConnections = idle.remove(server);
@@ -135,7 +150,8 @@
 
     private void connect(BackendEntry server, Consumer<ServerConnection> onConnected, Consumer<String> onFailure) {
         openedCount++;
-        ServerConnection connection = new ServerConnection(server, this, dialect, openedCount);
+        StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        ServerConnection connection = new ServerConnection(server, this, dialect, openedCount, decoder);
         ChannelUtils.probeIdle(new Bootstrap(), KEEP_ALIVE_PROBE_COUNT)
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
@@ -149,7 +165,7 @@
                         channel.pipeline()
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(new ReceivedBytesHandler(connection))
-                                .addLast(new HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(decoder)
                                 .addLast(connection);
                     }
                 })
--- a/router/src/test/java/org/coltsfootquay/router/channel/StatusLineScannerTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/channel/StatusLineScannerTest.java
@@ -42,6 +42,25 @@
         assertFalse(scanner.scan(buffer(body)));
     }
 
+    @Test
+    void endOfTheStatusLineIsAnIndexOfTheBufferThatCompletedIt() {
+        assertEquals(-1, scanner.endIndex());
+        scanner.scan(buffer("body HTTP/1.1 "));
+        assertEquals(-1, scanner.endIndex());
+        scanner.scan(buffer("500 Error"));
+        assertEquals(4, scanner.endIndex());
+    }
+
+    @Test
+    void beginningOfAStatusLineIsReportedUntilItIsComplete() {
+        scanner.scan(buffer("body"));
+        assertFalse(scanner.withinStatusLine());
+        scanner.scan(buffer("HTTP/1.1"));
+        assertTrue(scanner.withinStatusLine());
+        scanner.scan(buffer(" 500 "));
+        assertFalse(scanner.withinStatusLine());
+    }
+
     @Test
     void statusLineIsFoundWhenSplitAtAnyByte() {
         for (int split = 0; split <= BODY.length(); split++) {
--- a/router/src/test/java/org/coltsfootquay/router/channel/StrictResponseDecoderTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/channel/StrictResponseDecoderTest.java
@@ -316,6 +316,29 @@
         }
     }
 
+    @Test
+    void inputAfterTheEndOfAResponseIsToldFromTheNextResponse() {
+        for (String extra : List.of("", "H", OK, "X-Id: 1", " ")) {
+            StrictResponseDecoder decoder = strictDecoder();
+            List<Boolean> noResponse = new ArrayList<>();
+            List<Integer> bytes = new ArrayList<>();
+            EmbeddedChannel channel = new EmbeddedChannel(decoder, new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object message) {
+                    if (message instanceof LastHttpContent && noResponse.isEmpty()) {
+                        noResponse.add(decoder.undecodedIsNoResponse());
+                        bytes.add(decoder.undecodedBytes());
+                    }
+                    ReferenceCountUtil.release(message);
+                }
+            });
+            write(channel, OK + "Content-Length: 5\r\n\r\nhello" + extra);
+            assertEquals(List.of(!extra.isEmpty() && !extra.startsWith("H")), noResponse, extra);
+            assertEquals(List.of(extra.length()), bytes, extra);
+            channel.finishAndReleaseAll();
+        }
+    }
+
     @Test
     void rejectedResponseIsHeld() {
         StrictResponseDecoder decoder = strictDecoder();
--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -163,6 +163,14 @@
         return loop.submit(() -> context.responseBudget().usedBytes()).get();
     }
 
+    /** Returns the number of open connections to all registered servers. */
+    int openConnections() throws Exception {
+        return loop.submit(() -> context.registry().servers().stream()
+                        .mapToInt(server -> context.connectionPool().openCount(server))
+                        .sum())
+                .get();
+    }
+
     /** Starts to drain the connections of callers. */
     CompletableFuture<String> drain(Duration stopTime, Duration addressTime) {
         CompletableFuture<String> drained = new CompletableFuture<>();
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -11,7 +11,6 @@
 import org.coltsfootquay.router.backend.ScriptedServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against late responses that stop anywhere and are read as one with the next response of the connection. */
@@ -43,7 +42,6 @@
     }
 
     /** Callers got a success with the body and the seal of an error. */
-    @Tag("known-red")
     @Test
     void errorAfterACutResponseIsNoSuccess() throws Exception {
         for (String path : List.of("/once/a", "/stream/a", "/resume/a")) {
@@ -59,7 +57,6 @@
     }
 
     /** A first response that stops, followed by the second one to the same request, became one response. */
-    @Tag("known-red")
     @Test
     void secondResponseToTheSameRequestDoesNotCompleteTheFirst() throws Exception {
         for (String path : List.of("/once/a", "/stream/a")) {
@@ -68,7 +65,7 @@
                 String response =
                         callAfterStaleBytes(path, success("other-" + cut).substring(0, cut), cut);
                 assertTrue(
-                        !response.startsWith("HTTP/1.1 200") || response.contains("[reset]"),
+                        !response.startsWith("HTTP/1.1 200") || isBrokenStream(response),
                         path + " after " + cut + " bytes: " + response);
             }
         }
@@ -82,18 +79,81 @@
         assertTrue(response.contains("seal-of-error"), response);
     }
 
+    /** The caller waited until its deadline for a response that had become a part of the body of another one. */
+    @Test
+    void responseWithinTheBodyOfAnotherIsGivenUpAtOnce() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nX-Id: first-0\r\nX-Seal: seal-of-success\r\n";
+        List<String> bodies = List.of(
+                "Content-Length: 5000\r\n\r\nbody",
+                "Transfer-Encoding: chunked\r\n\r\n1000\r\nbody",
+                "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+                "\r\nbody");
+        for (String path : List.of("/once/a", "/stream/a")) {
+            for (String body : bodies) {
+                String response = callAfterStaleBytes(path, head + body, 0);
+                assertTrue(response.startsWith("HTTP/1.1 502"), path + " after " + body + ": " + response);
+            }
+        }
+    }
+
+    /** The part waited in the decoder of the idle connection until the next response completed it. */
+    @Test
+    void partOfAResponseOnAnIdleConnectionEndsTheConnection() throws Exception {
+        ScriptedServer server = start((head, output, socket) -> {
+            output.write(ScriptedServer.ascii(success(id(head))));
+            output.flush();
+            Thread.sleep(20);
+            output.write(ScriptedServer.ascii("HTTP/1.1 500 Int"));
+        });
+        assertTrue(callUntilRun("/once/a", "first-1").startsWith("HTTP/1.1 200"));
+        Thread.sleep(200);
+        assertEquals(0, fixture.openConnections(), "connections to the server");
+        assertTrue(callUntilRun("/once/a", "first-2").startsWith("HTTP/1.1 200"));
+        assertEquals(2, server.connections.get());
+    }
+
+    @Test
+    void partOfAResponseBehindAResponseEndsTheConnection() throws Exception {
+        ScriptedServer server = start((head, output, socket) ->
+                output.write(ScriptedServer.ascii(success(id(head)) + "HTTP/1.1 500 Internal Server Error\r\nX-Id: ")));
+        for (int i = 1; i <= 3; i++) {
+            assertTrue(callUntilRun("/once/a", "first-" + i).startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(3, server.connections.get());
+    }
+
+    /** Replaces the server. */
+    private ScriptedServer start(ScriptedServer.Script script) throws Exception {
+        stop();
+        fixture = new ForwardingFixture().withConfiguration();
+        return fixture.serve(script);
+    }
+
     private String callAfterStaleBytes(String path, String bytes, int number) throws Exception {
         stale.set("");
-        String first = fixture.call("POST", path, "first-" + number);
+        String first = callUntilRun(path, "first-" + number);
         assertTrue(first.startsWith("HTTP/1.1 200"), first);
         stale.set(bytes);
         long startNanos = System.nanoTime();
-        String response = fixture.call("POST", path, "other-" + number);
+        String response = callUntilRun(path, "other-" + number);
         long millis = (System.nanoTime() - startNanos) / 1_000_000;
         assertEquals("", millis < 2000 ? "" : path + " took " + millis + " ms: " + response);
         return response;
     }
 
+    private static boolean isBrokenStream(String response) {
+        return response.contains("transfer-encoding: chunked") && !response.endsWith("\r\n0\r\n\r\n");
+    }
+
+    /** Calls again if the router is overloaded, as on a busy machine, and has not run the request. */
+    private String callUntilRun(String path, String id) throws IOException {
+        String response = fixture.call("POST", path, id);
+        while (response.startsWith("HTTP/1.1 503") && response.contains("router_overloaded")) {
+            response = fixture.call("POST", path, id);
+        }
+        return response;
+    }
+
     private static String success(String id) {
         return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Id: " + id
                 + "\r\nX-Seal: seal-of-success\r\nContent-Length: 24\r\n\r\nid: 1\ndata: a\n\ndata: b\n\n";
--- a/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
@@ -47,8 +47,9 @@
     @Override
     public ResponseMetadata readResponse(HttpResponse response) {
         HttpHeaders headers = response.headers();
+        List<String> requestIds = headers.getAll("X-Id");
         return new ResponseMetadata(
-                headers.get("X-Id", ""),
+                requestIds.size() == 1 ? requestIds.get(0) : "",
                 headers.contains("X-Seal"),
                 headers.contains("X-Not-Run"),
                 headers.contains("Content-Encoding"),
