Use connections of servers that answer twice for one request each

Callers of requests that must not be repeated got 502 when the late second response to an earlier request, not whole, came before their own on a kept connection: once the bytes are there, only the connection can be given up.

Cause: a server that sends bytes which no request asked for does so again, and the pool went on to reuse its connections. Evidence: connectionsOfAServerThatAnsweredTwiceCarryOneRequest (2 connections for 5 requests before).

The cost is a new connection for each request to such a server.

--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -231,7 +231,7 @@
         if (!channelContext.channel().isActive()) {
             return;
         }
-        pool.unsolicitedBytesReceived();
+        pool.unsolicitedBytesReceived(server);
         ChannelUtils.close(channelContext.channel());
         LOG.warn(
                 "unexpected_bytes",
@@ -270,7 +270,7 @@
             otherResponses++;
             otherRequest = metadata.requestId();
             discardedBody = new StatusLineScanner();
-            pool.unsolicitedBytesReceived();
+            pool.unsolicitedBytesReceived(server);
             return;
         }
         responseStarted = true;
@@ -334,7 +334,10 @@
             unexpectedBytesReceived(decoder.undecodedBytes());
         }
         // A server may respond before it has read the complete request; such a connection is not reused.
-        if (reusable && writeFuture.isSuccess() && channelContext.channel().isActive()) {
+        if (reusable
+                && writeFuture.isSuccess()
+                && channelContext.channel().isActive()
+                && pool.connectionReuse().isPermitted(server, idleSinceNanos)) {
             pool.release(this);
         } else {
             ChannelUtils.close(channelContext.channel());
@@ -345,7 +348,7 @@
     /** Gives up a connection on which the bounds of the responses are not known. */
     private void desynchronized(String cause, String foundDefect) {
         defect = String.valueOf(foundDefect);
-        pool.unsolicitedBytesReceived();
+        pool.unsolicitedBytesReceived(server);
         fail(cause);
         ChannelUtils.close(channelContext.channel());
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -15,14 +15,18 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.coltsfootquay.decision.backend.BackendEntry;
+import org.coltsfootquay.decision.backend.ConnectionReuse;
 import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.channel.StrictResponseDecoder;
+import org.coltsfootquay.router.log.EventLog;
 
 /** Pool of persistent connections to backend servers; runs on one event loop. */
 public final class ServerConnectionPool {
 
+    private static final EventLog LOG = EventLog.of(ServerConnectionPool.class);
+
     /** Maximum time to establish a connection; a reachable server accepts within a few milliseconds. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(350);
 
@@ -39,6 +43,7 @@
     private final ResponseLimits responseLimits;
     private final Map<ServerName, Deque<ServerConnection>> idle = new HashMap<>();
     private final Map<ServerName, Integer> open = new HashMap<>();
+    private final ConnectionReuse connectionReuse = new ConnectionReuse();
     private long openedCount;
     private long unsolicitedCount;
 
@@ -86,6 +91,15 @@
         return unsolicitedCount;
     }
 
+    /**
+     * Returns the number of servers whose connections are or were recently not reused.
+     *
+     * @return number of servers
+     */
+    public int unsolicitedServerCount() {
+        return connectionReuse.size();
+    }
+
     /** Returns the limits of responses. */
     ResponseLimits responseLimits() {
         return responseLimits;
@@ -107,9 +121,18 @@
         connect(server, onConnected, onFailure);
     }
 
-    /** Records that a server has sent bytes that belong to no request. */
-    void unsolicitedBytesReceived() {
+    /** Returns the policy on the reuse of connections. */
+    ConnectionReuse connectionReuse() {
+        return connectionReuse;
+    }
+
+    /** Records that a server has sent bytes that belong to no request, so that its connections are not reused. */
+    void unsolicitedBytesReceived(BackendEntry server) {
         unsolicitedCount++;
+        if (connectionReuse.recordUnsolicited(server, clock.getAsLong())) {
+            LOG.warn("connections_not_reused", "server", server.server());
+            closeIdle(server.server());
+        }
     }
 
     /** Closes the idle connections to a server. */
@@ -123,6 +146,7 @@
     /** Closes connections that exceeded their idle time, so that servers do not keep them open unnecessarily. */
     public void closeExpired() {
         long now = clock.getAsLong();
+        connectionReuse.removeExpired(now);
         for (Deque<ServerConnection> idleConnections : idle.values()) {
             idleConnections.removeIf(connection -> {
                 boolean expired = !connection.usable(now);
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -122,6 +122,19 @@
         assertEquals(3, server.connections.get());
     }
 
+    /** A server that sends a second response does it again, so that requests on kept connections are lost. */
+    @Test
+    void connectionsOfAServerThatAnsweredTwiceCarryOneRequest() throws Exception {
+        ScriptedServer server = start((head, output, socket) -> {
+            String response = success(id(head));
+            output.write(ScriptedServer.ascii(id(head).equals("first-2") ? response.repeat(2) : response));
+        });
+        for (int i = 1; i <= 5; i++) {
+            assertTrue(callUntilRun("/once/a", "first-" + i).startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(4, server.connections.get());
+    }
+
     /** Replaces the server. */
     private ScriptedServer start(ScriptedServer.Script script) throws Exception {
         stop();
