Wait for a slow server if no other one can take its request

Cause: the response timer closed the connection before it was known whether another server could take the request. Evidence: both tests of SlowServerTest got 502 no_server before. Change: without another server the timer starts again, so that a server that is registered meanwhile still gets the request.

--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -166,13 +166,7 @@
         if (done || rejectIfQuarantined()) {
             return;
         }
-        Optional<SelectedServer> choice = context.eligibleServerSelector()
-                .select(
-                        service,
-                        new SelectionRequest(requestMetadata.prompt(), route.target(), now()),
-                        triedServers,
-                        context.selector(service),
-                        context.peers().members());
+        Optional<SelectedServer> choice = selectServer();
         if (choice.isEmpty()) {
             failWithoutServer();
             return;
@@ -193,6 +187,17 @@
         context.connectionPool().acquire(target, this::send, reason -> connectFailed(target, reason));
     }
 
+    /** Selects a server that the request was not sent to before. */
+    private Optional<SelectedServer> selectServer() {
+        return context.eligibleServerSelector()
+                .select(
+                        service,
+                        new SelectionRequest(requestMetadata.prompt(), route.target(), now()),
+                        triedServers,
+                        context.selector(service),
+                        context.peers().members());
+    }
+
     /** Ends the request if a part of its prompt is quarantined; returns whether it is. */
     private boolean rejectIfQuarantined() {
         Optional<Rejection> rejection = promptParts.rejection();
@@ -666,7 +671,15 @@
 
     private void responseTimedOut() {
         responseTimer = null;
-        if (done || connection == null || !tryAcquireRetry()) {
+        if (done || connection == null) {
+            return;
+        }
+        if (selectServer().isEmpty()) {
+            // The response of this server is the only one that may still come.
+            startResponseTimer();
+            return;
+        }
+        if (!tryAcquireRetry()) {
             return;
         }
         ServerName server = selectedServer.entry().server();
