Complete the start of a router only when it serves requests

RouterDaemon.start() scheduled the start of its control thread and completed without waiting for it, so for a moment the router accepted connections but refused every request. Programs that embed a router, and the fixture, send the first request as soon as the start has completed.

The future of start() now completes after the routes are in place, and fails if they cannot be created.

--- a/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/coltsfootquay/router/daemon/RouterDaemon.java
@@ -176,7 +176,7 @@
     /**
      * Starts the router.
      *
-     * @return future that completes when the router listens and fails when an address is in use
+     * @return future that completes when the router serves requests and fails when an address is in use
      */
     public CompletableFuture<Void> start() {
         controlThread.start();
@@ -187,9 +187,9 @@
                     peerAddress = peer;
                     return frontEnd.listen(settings.callerAddress());
                 })
-                .thenAccept(caller -> {
+                .thenCompose(caller -> {
                     callerAddress = caller;
-                    controlThread.execute(this::startControl);
+                    return CompletableFuture.runAsync(this::startControl, controlThread);
                 });
     }
 
--- a/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/coltsfootquay/router/daemon/TestFleet.java
@@ -77,6 +77,10 @@
     }
 
     RouterDaemon createRouter(String name, String zone) {
+        return createRouter(name, zone, PlatformPorts.overHttp(Duration.ofSeconds(2), 1));
+    }
+
+    RouterDaemon createRouter(String name, String zone, PlatformPorts.Factory ports) {
         RouterSettings settings = new RouterSettings(
                 new RouterId(name),
                 new ZoneName(zone),
@@ -95,7 +99,7 @@
                         Duration.ofMillis(250),
                         Duration.ofMillis(200)),
                 RouterSettings.Limits.DEFAULT);
-        return new RouterDaemon(settings, RouterOptions.defaults(PlatformPorts.overHttp(Duration.ofSeconds(2), 1)));
+        return new RouterDaemon(settings, RouterOptions.defaults(ports));
     }
 
     HttpResponse<String> sendModelRequest(RouterDaemon router, String content, int tokens, boolean stream)
