Close idle connections of clients on which bytes arrive

Bytes of a late response that came between two requests and were not a whole head stayed in the decoder of the kept connection. The next response was joined to them: its body under the status of the late one, so that a conditional write which the store refused with 412 was taken for applied. These responses have no id that could be compared.

UnsolicitedBytesHandler precedes the decoder and closes the connection on any byte that arrives while no response is awaited.

StaleResponseTest cuts a late 200 at each of its 60 bytes. Without the handler, BackendClient read the following 412 as a 200 at 10 of them and failed the call as malformed at 44. StoreConnectionTest failed at the first byte: "expected: <412 second> but was: <0 timeout>".

--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -21,6 +21,7 @@
 import org.coltsfootquay.router.backend.BackendFailure.Kind;
 import org.coltsfootquay.router.channel.ChannelUtils;
 import org.coltsfootquay.router.channel.TrafficCounter;
+import org.coltsfootquay.router.channel.UnsolicitedBytesHandler;
 
 /**
  * HTTP client with a connection pool for each server and event loop; thread-safe.
@@ -135,10 +136,12 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
+                            PooledConnection connection = new PooledConnection(pool, channel);
                             channel.pipeline()
                                     .addLast(traffic)
+                                    .addLast(new UnsolicitedBytesHandler(() -> connection.exchange != null))
                                     .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                    .addLast(new PooledConnection(pool, channel));
+                                    .addLast(connection);
                         }
                     })
                     .connect(ChannelUtils.parseAddress(request.address()));
