--- a/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
@@ -165,6 +165,7 @@
         int target = value.lastIndexOf(' ', version - 1) + 1;
         return target > 1
                 && Character.isUpperCase(value.charAt(target - 2))
-                && (value.startsWith("/", target) || value.substring(target, version).contains("://"));
+                && (value.startsWith("/", target)
+                        || value.substring(target, version).contains("://"));
     }
 }
--- a/router/src/test/java/org/coltsfootquay/router/forward/StrictRequestDecoderTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/StrictRequestDecoderTest.java
@@ -166,8 +166,7 @@
     }
 
     private static String chunked(String coding) {
-        return "POST /once/a HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: " + coding
-                + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        return "POST /once/a HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
     }
 
     /** Decodes a text that arrives in two parts, up to the first refusal. */
