--- a/router/src/test/java/org/coltsfootquay/router/backend/StaleResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/StaleResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.coltsfootquay.router.channel.ChannelUtils;
@@ -22,9 +23,6 @@
     /** Late second response to the first request. */
     private static final String STALE = "HTTP/1.1 200 OK\r\nX-Origin: stale\r\nContent-Length: 5\r\n\r\nstale";
 
-    /** Time in which bytes that a server sent on loopback are read by the client. */
-    private static final Duration ARRIVAL_TIME = Duration.ofMillis(50);
-
     private final EventLoopGroup loops = ChannelUtils.eventLoops("stale-response-test", 1);
     private final BackendClient client = new BackendClient(loops);
 
@@ -37,28 +35,35 @@
     /** A late response that was cut anywhere, between two requests. */
     @Test
     void bytesBetweenTwoRequestsCloseTheConnection() throws Exception {
-        List<String> wrong = new ArrayList<>();
         for (int end = 1; end <= STALE.length(); end++) {
             byte[] stale = ScriptedServer.ascii(STALE.substring(0, end));
+            CountDownLatch firstReceived = new CountDownLatch(1);
             AtomicInteger requests = new AtomicInteger();
             try (ScriptedServer server = new ScriptedServer((head, output, socket) -> {
                 if (requests.getAndIncrement() == 0) {
                     output.write(ScriptedServer.response(200, "first"));
-                    Thread.sleep(ARRIVAL_TIME.toMillis() / 2);
+                    firstReceived.await();
                     output.write(stale);
                 } else {
                     output.write(ScriptedServer.response(412, "second"));
                 }
             })) {
                 assertEquals("200 first", call(server));
-                Thread.sleep(ARRIVAL_TIME.toMillis());
-                String result = call(server);
-                if (!result.equals("412 second") || server.connections.get() != 2) {
-                    wrong.add(result + " on connection " + server.connections.get() + " after " + end + " bytes");
-                }
+                firstReceived.countDown();
+                awaitNoConnection("after " + end + " bytes");
+                assertEquals("412 second", call(server), "after " + end + " bytes");
+                server.crash();
+                awaitNoConnection("after the end of the server");
             }
         }
-        assertEquals(List.of(), wrong);
+    }
+
+    private void awaitNoConnection(String when) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (client.connectionCount() > 0) {
+            assertTrue(System.nanoTime() < deadline, "the connection is still open " + when);
+            Thread.sleep(1);
+        }
     }
 
     /** Sends a request and returns the status and body, or the failure. */
