Refuse joined and ambiguous heads at the front end of the daemon too

HttpFrontEnd reads its callers with HttpServerCodec, which accepts the same heads as the decoder of CallerConnection did: "PO" + "POST /b" reached the handler as a request POPOST, a request line within a header before Host as a part of that header, and two hosts, "gzip, chunked" and HTTP/2.0 as well.

HttpFrontEndTest.joinedAndAmbiguousHeadsAreRejectedBeforeTheHandler failed before: the first of its heads reached the handler and the test timed out.

--- a/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
@@ -4,8 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -14,17 +12,16 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.regex.Pattern;
+import org.coltsfootquay.router.channel.RequestHeadUtils;
 
 /**
  * HTTP request decoder that rejects requests which another parser may read differently.
  *
  * <p>Such a request permits request smuggling: two parsers that disagree on where it ends, or on its target, do not see
  * the same requests. It also occurs without intent, if a caller gives up in the middle of a head and sends its next
- * request on the same connection. In addition to the rules of Netty, this decoder rejects folded lines, request lines
- * with other separators or versions than those of HTTP/1, transfer codings other than chunked, more than one host, a
- * method that consists of two, and a request line at the end of a header before the host.
+ * request on the same connection. In addition to the rules of Netty and of {@link RequestHeadUtils}, this decoder rejects
+ * folded lines, and request lines with other separators or versions than those of HTTP/1.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
@@ -32,9 +29,6 @@
     private static final int MAX_CHUNK_BYTES = 65536;
 
     private static final Pattern REQUEST_LINE = Pattern.compile("[^ \\t]+ [^ \\t]+ HTTP/1\\.[0-9]");
-    private static final String VERSION_PREFIX = " HTTP/1.";
-    private static final List<String> METHODS =
-            List.of("GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH");
 
     private boolean readingHead = true;
     private boolean requestLineRead;
@@ -67,7 +61,7 @@
             if (part instanceof HttpRequest request) {
                 readingHead = false;
                 requestLineRead = false;
-                String fault = request.decoderResult().isFailure() ? "" : findFault(request);
+                String fault = request.decoderResult().isFailure() ? "" : RequestHeadUtils.findFault(request);
                 if (!fault.isEmpty()) {
                     rejected = true;
                     reject(request, fault);
@@ -122,50 +116,4 @@
         }
         return "";
     }
-
-    private static String findFault(HttpRequest request) {
-        if (isJoinedMethod(request.method().name())) {
-            return "the method " + request.method().name() + " consists of two; send each request completely";
-        }
-        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        if (!codings.isEmpty()
-                && (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)))) {
-            return "the transfer coding is not chunked; send the body chunked or with Content-Length";
-        }
-        if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
-            return "request has more than one Host header; send exactly one";
-        }
-        for (Map.Entry<String, String> header : request.headers()) {
-            if (HttpHeaderNames.HOST.contentEqualsIgnoreCase(header.getKey())) {
-                break;
-            }
-            if (endsWithRequestLine(header.getValue())) {
-                return "header " + header.getKey() + " ends with a request line; send each request completely";
-            }
-        }
-        return "";
-    }
-
-    /** Returns whether a method consists of the beginning of a standard method and a second one. */
-    private static boolean isJoinedMethod(String name) {
-        for (String second : METHODS) {
-            String first = name.endsWith(second) ? name.substring(0, name.length() - second.length()) : "";
-            if (!first.isEmpty() && METHODS.stream().anyMatch(method -> method.startsWith(first))) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static boolean endsWithRequestLine(String value) {
-        int version = value.lastIndexOf(VERSION_PREFIX);
-        if (version < 0 || version + VERSION_PREFIX.length() + 1 != value.length()) {
-            return false;
-        }
-        int target = value.lastIndexOf(' ', version - 1) + 1;
-        return target > 1
-                && Character.isUpperCase(value.charAt(target - 2))
-                && (value.startsWith("/", target)
-                        || value.substring(target, version).contains("://"));
-    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/http/FrontEndHandler.java
+++ b/router/src/main/java/org/coltsfootquay/router/http/FrontEndHandler.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.channel.RequestHeadUtils;
 
 /**
  * Handler of one front-end connection: aggregates requests within the limits and handles them one at a time, in order.
@@ -71,6 +72,11 @@
             return;
         }
         if (message instanceof HttpRequest request) {
+            String fault = RequestHeadUtils.findFault(request);
+            if (!fault.isEmpty()) {
+                rejectMalformed(request, new IllegalArgumentException(fault));
+                return;
+            }
             beginRequest(request);
         }
         if (message instanceof HttpContent content && !rejected) {
--- a/router/src/test/java/org/coltsfootquay/router/http/HttpFrontEndTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/http/HttpFrontEndTest.java
@@ -83,6 +83,26 @@
         assertTrue(exchanges.isEmpty());
     }
 
+    /** Guards against a request that is joined from two, or that a server would read differently. */
+    @Test
+    void joinedAndAmbiguousHeadsAreRejectedBeforeTheHandler() throws Exception {
+        String[] heads = {
+            "POPOST /b HTTP/1.1\r\nHost: x\r\n\r\n",
+            "GET /a HTTP/1.1\r\nX-Id: oPOST /b HTTP/1.1\r\nHost: x\r\n\r\n",
+            "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            "GET /a HTTP/2.0\r\nHost: x\r\n\r\n",
+        };
+        for (String head : heads) {
+            try (Client client = new Client()) {
+                client.send(head);
+                String response = client.readUntil("\r\n\r\n");
+                assertTrue(response.startsWith("HTTP/1.1 400"), head + response);
+            }
+        }
+        assertTrue(exchanges.isEmpty());
+    }
+
     /** Guards against a missing 100 Continue, without which the caller never sends its body. */
     @Test
     void expectationIsAnsweredBeforeTheBody() throws Exception {
