Do not reuse connections of clients that hold bytes behind a response

Bytes that arrived together with a response, behind its end, stayed in the decoder of the kept connection like those between two requests: they were read as the beginning of the next response.

The decoder does not know the method of a request; a connection on which a response to HEAD arrived is therefore closed.

--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendClient.java
@@ -10,8 +10,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Set;
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.router.backend.BackendFailure.Kind;
 import org.coltsfootquay.router.channel.ChannelUtils;
+import org.coltsfootquay.router.channel.StrictResponseDecoder;
 import org.coltsfootquay.router.channel.TrafficCounter;
 import org.coltsfootquay.router.channel.UnsolicitedBytesHandler;
 
@@ -140,7 +141,8 @@
                             channel.pipeline()
                                     .addLast(traffic)
                                     .addLast(new UnsolicitedBytesHandler(() -> connection.exchange != null))
-                                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                    .addLast(new HttpRequestEncoder())
+                                    .addLast(connection.decoder)
                                     .addLast(connection);
                         }
                     })
@@ -191,6 +193,9 @@
 
         private final Pool pool;
         private final Channel channel;
+        private final StrictResponseDecoder decoder =
+                new StrictResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+
         private BackendExchange exchange;
         private Future<?> idleTimer;
 
@@ -262,7 +267,8 @@
         private void release() {
             exchange = null;
             channel.config().setAutoRead(true);
-            if (!channel.isActive() || !pool.put(this)) {
+            // Bytes behind a response would be read as the beginning of the next one.
+            if (!channel.isActive() || decoder.withinMessage() || !pool.put(this)) {
                 ChannelUtils.close(channel);
                 return;
             }
--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
@@ -106,6 +106,12 @@
         if (part instanceof HttpResponse response && !handleHeaders(response)) {
             return false;
         }
+        if (part instanceof HttpResponse && !informational && request.method().equals("HEAD")) {
+            // The decoder does not know that no body follows, so the connection is not reused.
+            keepAlive = false;
+            end();
+            return true;
+        }
         if (part instanceof HttpContent content && !informational) {
             ByteBuf bytes = content.content();
             if (bytes.isReadable()) {
--- a/router/src/test/java/org/coltsfootquay/router/backend/BackendClientTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/BackendClientTest.java
@@ -55,6 +55,26 @@
         }
     }
 
+    /** Guards against waiting for the body of a response to HEAD, which announces a length and has none. */
+    @Test
+    void responseToHeadHasNoBody() throws Exception {
+        EventLoop loop = loops.next();
+        try (ScriptedServer server = new ScriptedServer((head, output, socket) ->
+                output.write(ScriptedServer.ascii("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")))) {
+            for (int i = 0; i < 2; i++) {
+                Recorder recorder = new Recorder(true);
+                Duration timeout = Duration.ofSeconds(5);
+                client.send(
+                        loop,
+                        new BackendRequest(server.address(), "HEAD", "/", Map.of(), new byte[0], timeout, timeout),
+                        recorder);
+                assertEquals(Recorder.NO_FAILURE, recorder.await());
+                assertEquals(200, recorder.status);
+                assertEquals("", recorder.text());
+            }
+        }
+    }
+
     /** Guards against reporting an unsent request as possibly executed, or the reverse. */
     @Test
     void executionIsNotSentOnlyWhenNoByteWasWritten() throws Exception {
--- a/router/src/test/java/org/coltsfootquay/router/backend/StaleResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/backend/StaleResponseTest.java
@@ -58,6 +58,30 @@
         }
     }
 
+    /** A late response that arrives together with the response to the request before. */
+    @Test
+    void bytesBehindAResponseCloseTheConnection() throws Exception {
+        List<String> wrong = new ArrayList<>();
+        for (int end = 1; end <= STALE.length(); end++) {
+            String stale = STALE.substring(0, end);
+            AtomicInteger requests = new AtomicInteger();
+            try (ScriptedServer server = new ScriptedServer((head, output, socket) -> {
+                if (requests.getAndIncrement() == 0) {
+                    output.write(ScriptedServer.ascii("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst" + stale));
+                } else {
+                    output.write(ScriptedServer.response(412, "second"));
+                }
+            })) {
+                assertEquals("200 first", call(server));
+                String result = call(server);
+                if (!result.equals("412 second") || server.connections.get() != 2) {
+                    wrong.add(result + " on connection " + server.connections.get() + " after " + end + " bytes");
+                }
+            }
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     private void awaitNoConnection(String when) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         while (client.connectionCount() > 0) {
