Let the stand-ins stutter: a late second answer after a part of their answers

The fault switch `stutter` is the fraction of answers that are followed, 5 ms later and on the same connection, by a second one with another status (an error after a success, a success after an error), whole or cut at any byte. It applies to plain answers and to streams that keep their connection; a second answer may come between the events of the next answer.

--- a/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultHandler.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootquay.settings.SettingsException;
 import org.coltsfootquay.settings.SettingsProblem;
@@ -16,7 +17,8 @@
 import org.coltsfootquay.standin.settings.SettingsJson;
 
 /**
- * Serves {@code /v1/faults} and {@code /v1/stats}, applies outages and delays, and passes other requests on.
+ * Serves {@code /v1/faults} and {@code /v1/stats}, applies outages, delays and second answers, and passes other
+ * requests on.
  *
  * <p>A delayed request takes effect after the delay, so a caller that gave up may still see its effect later.
  */
@@ -72,6 +74,7 @@
                 exchange.abort();
             }
             default -> {
+                exchange.followAnswer(this::secondAnswer);
                 if (faults.slowMillis() > 0) {
                     counters.increment("slowed");
                     var unused = loop.schedule(() -> next.handle(exchange), faults.slowMillis(), TimeUnit.MILLISECONDS);
@@ -82,6 +85,12 @@
         }
     }
 
+    private Optional<byte[]> secondAnswer(int status) {
+        Optional<byte[]> second = switches.secondAnswer(status);
+        second.ifPresent(bytes -> counters.increment("secondAnswers"));
+        return second;
+    }
+
     private void answerFaults(Exchange exchange) {
         if (exchange.method().equals("GET")) {
             exchange.answer(200, SettingsJson.write(switches.current()));
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/FaultSwitches.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/FaultSwitches.java
@@ -1,5 +1,7 @@
 package org.coltsfootquay.standin.fault;
 
+import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
@@ -12,6 +14,21 @@
 
     private final AtomicReference<Faults> faults = new AtomicReference<>(Faults.none());
     private final AtomicLong effects = new AtomicLong();
+    private final Random random;
+
+    /** Creates switches that are all off, with a fixed seed. */
+    public FaultSwitches() {
+        this(new Random(0));
+    }
+
+    /**
+     * Creates switches that are all off.
+     *
+     * @param random generator of the faults that are drawn
+     */
+    public FaultSwitches(Random random) {
+        this.random = random;
+    }
 
     /**
      * Returns the positions of the switches.
@@ -57,4 +74,16 @@
                 old -> old.loseNextAnswers() > 0 ? old.withLoseNextAnswers(old.loseNextAnswers() - 1) : old);
         return before.loseNextAnswers() > 0 || (before.loseOneAnswerIn() > 0 && number % before.loseOneAnswerIn() == 0);
     }
+
+    /**
+     * Decides whether a second answer follows an answer; to be called once for each answer.
+     *
+     * @param status status of the answer
+     * @return bytes to send after the answer, or empty
+     */
+    public Optional<byte[]> secondAnswer(int status) {
+        return random.nextDouble() < current().stutter()
+                ? Optional.of(SecondAnswer.draw(random, status))
+                : Optional.empty();
+    }
 }
--- a/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/fault/Faults.java
@@ -14,6 +14,7 @@
  * @param loseOneAnswerIn each n-th call with an effect loses its answer after the effect; 0 for none
  * @param ignoreFencing whether the stand-in accepts old fencing numbers although its settings say that it checks them
  * @param cutStreamsAfterTokens number of tokens after which the connection of each stream is broken; 0 for never
+ * @param stutter fraction of answers, 0 to 1, that are followed by a late second one, whole or cut
  */
 public record Faults(
         Outage outage,
@@ -24,7 +25,8 @@
         int loseNextAnswers,
         int loseOneAnswerIn,
         boolean ignoreFencing,
-        int cutStreamsAfterTokens) {
+        int cutStreamsAfterTokens,
+        double stutter) {
 
     private static final long MAX_MILLIS = 3_600_000;
 
@@ -38,6 +40,7 @@
                 .range("loseNextAnswers", loseNextAnswers, 0, Integer.MAX_VALUE)
                 .range("loseOneAnswerIn", loseOneAnswerIn, 0, Integer.MAX_VALUE)
                 .range("cutStreamsAfterTokens", cutStreamsAfterTokens, 0, Integer.MAX_VALUE)
+                .range("stutter", stutter, 0, 1)
                 .throwIfAny();
     }
 
@@ -47,7 +50,7 @@
      * @return no faults
      */
     public static Faults none() {
-        return new Faults(Outage.NONE, false, 0, 1, 0, 0, 0, false, 0);
+        return new Faults(Outage.NONE, false, 0, 1, 0, 0, 0, false, 0, 0);
     }
 
     /**
@@ -66,7 +69,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -85,7 +89,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -104,7 +109,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -123,7 +129,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -142,7 +149,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -161,7 +169,8 @@
                 value,
                 loseOneAnswerIn,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -180,7 +189,8 @@
                 loseNextAnswers,
                 value,
                 ignoreFencing,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -199,7 +209,8 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 value,
-                cutStreamsAfterTokens);
+                cutStreamsAfterTokens,
+                stutter);
     }
 
     /**
@@ -218,6 +229,27 @@
                 loseNextAnswers,
                 loseOneAnswerIn,
                 ignoreFencing,
+                value,
+                stutter);
+    }
+
+    /**
+     * Returns a copy with another fraction of answers that are followed by a second one.
+     *
+     * @param value fraction, 0 to 1
+     * @return the copy
+     */
+    public Faults withStutter(double value) {
+        return new Faults(
+                outage,
+                throttle,
+                slowMillis,
+                slowFactor,
+                lagMillis,
+                loseNextAnswers,
+                loseOneAnswerIn,
+                ignoreFencing,
+                cutStreamsAfterTokens,
                 value);
     }
 }
--- a/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
+++ b/standin/src/main/java/org/coltsfootquay/standin/http/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -22,11 +24,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 
 /** One HTTP request and its answer. All methods must be called on the event loop of the server. */
 public final class Exchange {
 
     private static final String JSON = "application/json";
+    private static final long SECOND_ANSWER_DELAY_MILLIS = 5;
 
     private final Channel channel;
     private final String method;
@@ -37,6 +42,7 @@
     private boolean answered;
     private boolean streaming;
     private Runnable closeAction = () -> {};
+    private IntFunction<Optional<byte[]>> secondAnswer = status -> Optional.empty();
 
     Exchange(Channel channel, FullHttpRequest request) {
         this.channel = channel;
@@ -155,6 +161,16 @@
         closeAction = action;
     }
 
+    /**
+     * Registers bytes that are sent some milliseconds after the answer if the connection stays open. They may come
+     * between the events of the next answer.
+     *
+     * @param bytesByStatus returns the bytes, or empty, from the status of the answer; called once
+     */
+    public void followAnswer(IntFunction<Optional<byte[]>> bytesByStatus) {
+        secondAnswer = bytesByStatus;
+    }
+
     /**
      * Answers with JSON.
      *
@@ -209,6 +225,7 @@
         }
         if (keepAlive) {
             channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            sendSecondAnswer(status);
         } else {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -250,6 +267,9 @@
         streaming = false;
         channel.writeAndFlush(new DefaultLastHttpContent())
                 .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        if (keepAlive) {
+            sendSecondAnswer(HttpResponseStatus.OK.code());
+        }
     }
 
     /** Breaks the connection without an answer or in the middle of one. */
@@ -259,6 +279,20 @@
         channel.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
+    private void sendSecondAnswer(int status) {
+        secondAnswer.apply(status).ifPresent(bytes -> {
+            var unused = channel.eventLoop()
+                    .schedule(() -> sendRaw(bytes), SECOND_ANSWER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void sendRaw(byte[] bytes) {
+        ChannelHandlerContext codec = channel.pipeline().context(HttpServerCodec.class);
+        if (codec != null) {
+            codec.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+    }
+
     void connectionEnded() {
         closeAction.run();
     }
