Let the callers of the soak leave a router that has ended

Their connections led to the port of the router that had ended, and brought neither a byte nor an end.

Cause: the fixture ends its event loop and not its process, so connections in the accept queue at that moment may stay open without a reader.

Change: KeptConnection reads for 250 ms at a time and gives the connection up if the router had ended before a read that brought nothing. The whole wait of 5 s and what counts as a response remain.

--- a/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ForwardingFixture.java
@@ -51,6 +51,7 @@
     private final EventLoop loop = group.next();
     private final InetSocketAddress address;
     private final List<ScriptedServer> servers = new ArrayList<>();
+    private volatile boolean closed;
     private int serverCount;
 
     ForwardingFixture() throws Exception {
@@ -235,6 +236,12 @@
             server.close();
         }
         ChannelUtils.shutDown(group).join();
+        closed = true;
+    }
+
+    /** Returns whether the router has ended and sends nothing more. */
+    boolean closed() {
+        return closed;
     }
 
     private static Route route(String prefix, RouteKind kind, boolean resumable, Duration timeout) {
--- a/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/KeptConnection.java
@@ -5,14 +5,22 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.function.Supplier;
 
 /** Caller that sends one request after the other and uses a connection until the router closes it. */
 final class KeptConnection implements AutoCloseable {
 
+    /** Time after which a read checks whether the router has ended. */
+    private static final int READ_MILLIS = 250;
+
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
+
     private final Supplier<ForwardingFixture> router;
+    private ForwardingFixture connected;
     private Socket socket;
     private InputStream input;
 
@@ -33,7 +41,9 @@
     Response call(String method, String path, String id, String parts) throws IOException {
         if (socket == null) {
             try {
-                socket = router.get().connect();
+                connected = router.get();
+                socket = connected.connect();
+                socket.setSoTimeout(READ_MILLIS);
             } catch (SocketException e) {
                 // The router has ended, and nothing was sent.
                 return new Response(0, "", false);
@@ -96,13 +106,28 @@
     }
 
     private char readByte() throws IOException {
-        int next = input.read();
+        int next = read();
         if (next < 0) {
             throw new IOException("connection closed");
         }
         return (char) next;
     }
 
+    /** Reads a byte; connections that wait in the accept queue when the router ends may stay open without any. */
+    private int read() throws IOException {
+        long endNanos = System.nanoTime() + READ_TIMEOUT.toNanos();
+        while (true) {
+            boolean ended = connected.closed();
+            try {
+                return input.read();
+            } catch (SocketTimeoutException e) {
+                if (ended || System.nanoTime() - endNanos >= 0) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     private static int status(StringBuilder head) {
         return head.indexOf("\r\n\r\n") < 0 ? 0 : Integer.parseInt(head.substring(9, 12));
     }
