--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -251,8 +251,7 @@
 
     private void readResponseHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            desynchronized(
-                    "unreadable_answer", response.decoderResult().cause().getMessage());
+            desynchronized("unreadable_answer", response.decoderResult().cause().getMessage());
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
