--- a/router/src/main/java/org/coltsfootquay/router/forward/RepeatedHeadDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RepeatedHeadDetector.java
@@ -7,9 +7,9 @@
 /**
  * Finds, in the body of a response, the head of another response to the same request; not thread-safe.
  *
- * <p>A server that stops within a body and then sends the response again completes the body with the head of the second
- * one. A status line alone is no evidence, since a body may quote one; the id of the request in the lines that follow it
- * is.
+ * <p>A server that stops within a body and then sends the response again completes the body with the head of the
+ * second one. A status line alone is no evidence, since a body may quote one; the id of the request in the lines that
+ * follow it is.
  */
 final class RepeatedHeadDetector {
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -39,12 +39,6 @@
     /** Time before the deadline of a request at which its final response is sent; covers transit to the caller. */
     private static final Duration DEADLINE_MARGIN = Duration.ofMillis(40);
 
-    /** Minimum response timeout after which an idempotent request is retried: several usual response times. */
-    private static final Duration MIN_RESPONSE_TIMEOUT = Duration.ofMillis(150);
-
-    /** Time beyond the expected latency after which a resumable stream without a response is retried elsewhere. */
-    private static final Duration STREAM_TIMEOUT_MARGIN = Duration.ofMillis(1500);
-
     /** Factor on the expected latency after which a first event is overdue; above the usual error of the estimate. */
     private static final double OVERDUE_FACTOR = 1.4;
 
@@ -77,9 +71,9 @@
     private final Reservation reservation;
     private final RequestAdmission admission;
     private final PromptPartTracker promptParts;
+    private final ResponseTimer responseTimer;
     private final Set<ServerName> triedServers = new HashSet<>();
     private ScheduledTask deadlineTimer;
-    private ScheduledTask responseTimer;
     private SelectedServer selectedServer;
     private ServerConnection connection;
     /** Connection of the last send, also after the response. */
@@ -121,6 +115,7 @@
         this.arrivalNanos = arrivalNanos;
         this.log = new RelayLog(requestMetadata.requestId(), route, workspace);
         this.reservation = new Reservation(context.loads());
+        this.responseTimer = new ResponseTimer(context.timers(), route, this::responseTimedOut);
         this.admission = new RequestAdmission(context, route, service, workspace, requestMetadata.prompt());
         this.promptParts =
                 new PromptPartTracker(context.quarantine(), context.timers(), service.name(), requestMetadata);
@@ -344,7 +339,7 @@
             return;
         }
         if (successful && route.kind() == RouteKind.STREAM) {
-            cancelResponseTimer();
+            responseTimer.cancel();
             if (streaming) {
                 if (!HeaderUtils.mediaType(head.headers()).equals(streamMediaType)) {
                     abandonResponse("resumed_without_stream");
@@ -432,7 +427,7 @@
     @Override
     public void responseCompleted() {
         connection = null;
-        cancelResponseTimer();
+        responseTimer.cancel();
         if (succeeding() && mayContainEvents() && eventSplitter.withinEvent()) {
             responseFailed("truncated_event");
             return;
@@ -519,7 +514,7 @@
         ServerName server = selectedServer.entry().server();
         connection = null;
         releaseResponse();
-        cancelResponseTimer();
+        responseTimer.cancel();
         context.health().recordResponse(server, false, now());
         log.responseFailed(
                 server, cause, streaming ? eventSplitter.lastId() : Optional.empty(), sentConnection.trace());
@@ -580,7 +575,7 @@
     private boolean tryAcquireRetry() {
         return route.isRetryable()
                 && sends < route.maxAttempts()
-                && deadlineNanos - now() > MIN_RESPONSE_TIMEOUT.toNanos()
+                && deadlineNanos - now() > ResponseTimer.MIN_TIMEOUT.toNanos()
                 && (!streaming || eventSplitter.lastId().isPresent() || firstEventNanos == 0)
                 && context.retryShare()
                         .tryAcquire(service.name(), context.peers().members().size(), now());
@@ -637,7 +632,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
-        cancelResponseTimer();
+        responseTimer.cancel();
         if (connection != null) {
             connection.discard();
             connection = null;
@@ -660,17 +655,12 @@
     }
 
     private void startResponseTimer() {
-        if (!route.isRetryable() || sends >= route.maxAttempts()) {
-            return;
+        if (route.isRetryable() && sends < route.maxAttempts()) {
+            responseTimer.start(selectedServer);
         }
-        Duration timeout = route.kind() == RouteKind.STREAM
-                ? selectedServer.expectedLatency().plus(STREAM_TIMEOUT_MARGIN)
-                : max(MIN_RESPONSE_TIMEOUT, route.target());
-        responseTimer = context.timers().scheduleOnce("response timeout", timeout, this::responseTimedOut);
     }
 
     private void responseTimedOut() {
-        responseTimer = null;
         if (done || connection == null) {
             return;
         }
@@ -690,21 +680,10 @@
         retry("silent");
     }
 
-    private void cancelResponseTimer() {
-        if (responseTimer != null) {
-            responseTimer.cancel();
-            responseTimer = null;
-        }
-    }
-
     private long now() {
         return context.timers().nowNanos();
     }
 
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) >= 0 ? a : b;
-    }
-
     /** Returns a stable hash of the request for the selection among the services of a route. */
     static long hashOf(RequestMetadata requestMetadata) {
         return HashUtils.hash(requestMetadata.requestId());
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -145,8 +145,8 @@
     }
 
     /**
-     * Counts received bytes; closes the connection if there is no request in progress or if no response has begun within
-     * the limit.
+     * Counts received bytes; closes the connection if there is no request in progress or if no response has begun
+     * within the limit.
      */
     void bytesReceived(int bytes) {
         receivedBytes += bytes;
--- a/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/StrictRequestDecoder.java
@@ -20,8 +20,8 @@
  *
  * <p>Such a request permits request smuggling: two parsers that disagree on where it ends, or on its target, do not see
  * the same requests. It also occurs without intent, if a caller gives up in the middle of a head and sends its next
- * request on the same connection. In addition to the rules of Netty and of {@link RequestHeadUtils}, this decoder rejects
- * folded lines, and request lines with other separators or versions than those of HTTP/1.
+ * request on the same connection. In addition to the rules of Netty and of {@link RequestHeadUtils}, this decoder
+ * rejects folded lines, and request lines with other separators or versions than those of HTTP/1.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
