Log discarded responses, silent servers and bytes on idle connections of clients

The reproduction with router processes showed three faults without a line: a response that is discarded for its id, a response that is swallowed until the deadline, and bytes that close a connection to the store. They are now logged as other_response_discarded, server_silent with what its connection has carried, and unexpected_bytes.

--- a/router/src/main/java/org/coltsfootquay/router/channel/UnsolicitedBytesHandler.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/UnsolicitedBytesHandler.java
@@ -1,10 +1,12 @@
 package org.coltsfootquay.router.channel;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
 import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.router.log.EventLog;
 
 /**
  * Closes the connection of a client when bytes arrive while no response is awaited.
@@ -13,6 +15,8 @@
  */
 public final class UnsolicitedBytesHandler extends ChannelInboundHandlerAdapter {
 
+    private static final EventLog LOG = EventLog.of(UnsolicitedBytesHandler.class);
+
     private final BooleanSupplier responseAwaited;
 
     /**
@@ -29,6 +33,12 @@
         if (responseAwaited.getAsBoolean()) {
             context.fireChannelRead(message);
         } else {
+            LOG.warn(
+                    "unexpected_bytes",
+                    "address",
+                    context.channel().remoteAddress(),
+                    "bytes",
+                    message instanceof ByteBuf bytes ? bytes.readableBytes() : 0);
             ReferenceCountUtil.release(message);
             ChannelUtils.close(context.channel());
         }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -1,6 +1,8 @@
 package org.coltsfootquay.router.forward;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
@@ -92,36 +94,15 @@
     }
 
     void responseFailed(ServerName server, String cause, Optional<String> lastEvent, ConnectionTrace trace) {
-        LOG.warn(
-                "answer_broken",
-                "request",
-                requestId,
-                "server",
-                server,
-                "cause",
-                cause,
-                "events",
-                lastEvent.orElse(NONE),
-                "connection",
-                trace.connection(),
-                "requests",
-                trace.requests(),
-                "bytes",
-                trace.receivedBytes(),
-                "otherResponses",
-                trace.otherResponses(),
-                "otherRequest",
-                trace.otherRequest().isEmpty() ? NONE : trace.otherRequest(),
-                "defect",
-                trace.defect().isEmpty() ? NONE : trace.defect());
+        warn("answer_broken", trace, "server", server, "cause", cause, "events", lastEvent.orElse(NONE));
     }
 
     void serverRefused(ServerName server, int status) {
         LOG.info("server_refused", "request", requestId, "server", server, "status", status);
     }
 
-    void serverTimedOut(ServerName server) {
-        LOG.warn("server_silent", "request", requestId, "server", server);
+    void serverTimedOut(ServerName server, ConnectionTrace trace) {
+        warn("server_silent", trace, "server", server);
     }
 
     void retried(String cause, int sends) {
@@ -148,4 +129,24 @@
                 "totalMs",
                 total.toMillis());
     }
+
+    /** Logs an event of the request with what its connection has carried. */
+    private void warn(String event, ConnectionTrace trace, Object... fields) {
+        List<Object> all = new ArrayList<>(List.of("request", requestId));
+        all.addAll(List.of(fields));
+        all.addAll(List.of(
+                "connection",
+                trace.connection(),
+                "requests",
+                trace.requests(),
+                "bytes",
+                trace.receivedBytes(),
+                "otherResponses",
+                trace.otherResponses(),
+                "otherRequest",
+                trace.otherRequest().isEmpty() ? NONE : trace.otherRequest(),
+                "defect",
+                trace.defect().isEmpty() ? NONE : trace.defect()));
+        LOG.warn(event, all.toArray());
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -601,6 +601,9 @@
         if (done) {
             return;
         }
+        if (connection != null) {
+            log.serverTimedOut(selectedServer.entry().server(), connection.trace());
+        }
         if (streaming) {
             abortStream("timeout");
         } else if (mayHaveExecuted()) {
@@ -673,7 +676,7 @@
             return;
         }
         ServerName server = selectedServer.entry().server();
-        log.serverTimedOut(server);
+        log.serverTimedOut(server, connection.trace());
         context.health().recordResponse(server, false, now());
         connection.discard();
         connection = null;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -269,6 +269,18 @@
             otherResponses++;
             otherRequest = metadata.requestId();
             discardedBody = new StatusLineScanner();
+            LOG.info(
+                    "other_response_discarded",
+                    "request",
+                    requestId,
+                    "server",
+                    server.server(),
+                    "connection",
+                    number,
+                    "otherRequest",
+                    trace().otherRequest(),
+                    "status",
+                    response.status().code());
             pool.unsolicitedBytesReceived(server);
             return;
         }
