Do not take a broken connection of a server without kept connections for its crash

Cause: a server has crashed if no connection to it is left. Since the connections of servers that answer twice carry one request each, none is left whenever one of them breaks, and the prompt of its request was blamed. The pool also put connections of the crash check and unused ones into its idle list.

Evidence: brokenConnectionOfAServerWithoutKeptConnectionsIsNoCrash counted one crash before.

Change: for such servers a new connection shows whether they are alive, and the pool takes no connection of theirs back. The gauges of unsolicited responses move to the node, since tests create the context without a pool.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CrashDetector.java
@@ -20,7 +20,8 @@
  * Tells the crash of a server from single broken connections, and reports which prompts the server may have been
  * processing; runs on the event loop.
  *
- * <p>A server has crashed if no connection of this router to it is left once all closures are processed.
+ * <p>A server has crashed if no connection of this router to it is left once all closures are processed. If the pool
+ * keeps no connections to the server, none may be left for that reason, so a new one shows whether it has crashed.
  */
 final class CrashDetector {
 
@@ -73,18 +74,22 @@
         var unused = timers.scheduleOnce("crash check", CHECK_DELAY, () -> {
             if (connectionPool.openCount(server.server()) > 0) {
                 result.accept(true);
-                return;
+            } else {
+                connect(server, result);
             }
-            connectionPool.acquire(
-                    server,
-                    connection -> {
-                        connectionPool.release(connection);
-                        result.accept(true);
-                    },
-                    reason -> result.accept(false));
         });
     }
 
+    private void connect(BackendEntry server, Consumer<Boolean> result) {
+        connectionPool.acquire(
+                server,
+                connection -> {
+                    connectionPool.release(connection);
+                    result.accept(true);
+                },
+                reason -> result.accept(false));
+    }
+
     private void check(BrokenConnection broken) {
         ServerName server = broken.server.server();
         List<BrokenConnection> others = unchecked.getOrDefault(server, List.of());
@@ -92,8 +97,31 @@
             return;
         }
         if (connectionPool.openCount(server) > 0) {
-            others.remove(broken);
+            serverAlive(broken);
+        } else if (connectionPool.keepsConnections(broken.server)) {
+            serverCrashed(broken);
+        } else {
+            connect(broken.server, alive -> {
+                if (alive) {
+                    serverAlive(broken);
+                } else {
+                    serverCrashed(broken);
+                }
+            });
+        }
+    }
+
+    private void serverAlive(BrokenConnection broken) {
+        List<BrokenConnection> others = unchecked.get(broken.server.server());
+        if (others != null && others.remove(broken)) {
             broken.afterCheck.run();
+        }
+    }
+
+    private void serverCrashed(BrokenConnection broken) {
+        ServerName server = broken.server.server();
+        List<BrokenConnection> others = unchecked.getOrDefault(server, List.of());
+        if (!others.contains(broken)) {
             return;
         }
         unchecked.remove(server);
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -127,8 +127,6 @@
         this.requestBudget = new ByteBudget(memoryLimits.requestBytes());
         metrics.gauge("coltsfootquay_response_bytes", responseBudget::usedBytes);
         metrics.gauge("coltsfootquay_request_bytes", requestBudget::usedBytes);
-        metrics.gauge("coltsfootquay_unsolicited_responses", connectionPool::unsolicitedCount);
-        metrics.gauge("coltsfootquay_unsolicited_servers", connectionPool::unsolicitedServerCount);
         this.demands = new DemandTracker(timers.nowNanos());
         timers.schedulePeriodic("overdue prompts", OVERDUE_CHECK_INTERVAL, this::updateOverduePrompts);
         timers.schedulePeriodic("idle engines", IDLE_ENGINE_INTERVAL, latencyModel::forgetIdleEngines);
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -345,10 +345,7 @@
             unexpectedBytesReceived(decoder.undecodedBytes());
         }
         // A server may respond before it has read the complete request; such a connection is not reused.
-        if (reusable
-                && writeFuture.isSuccess()
-                && channelContext.channel().isActive()
-                && pool.connectionReuse().isPermitted(server, idleSinceNanos)) {
+        if (reusable && writeFuture.isSuccess() && channelContext.channel().isActive()) {
             pool.release(this);
         } else {
             ChannelUtils.close(channelContext.channel());
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnectionPool.java
@@ -121,9 +121,9 @@
         connect(server, onConnected, onFailure);
     }
 
-    /** Returns the policy on the reuse of connections. */
-    ConnectionReuse connectionReuse() {
-        return connectionReuse;
+    /** Returns whether connections to a server are kept for further requests. */
+    boolean keepsConnections(BackendEntry server) {
+        return connectionReuse.isPermitted(server, clock.getAsLong());
     }
 
     /** Records that a server has sent bytes that belong to no request, so that its connections are not reused. */
@@ -158,9 +158,14 @@
         }
     }
 
+    /** Takes back a connection without a request in progress, and keeps it if it may carry another request. */
     void release(ServerConnection connection) {
-        idle.computeIfAbsent(connection.server().server(), name -> new ArrayDeque<>())
-                .addLast(connection);
+        if (keepsConnections(connection.server())) {
+            idle.computeIfAbsent(connection.server().server(), name -> new ArrayDeque<>())
+                    .addLast(connection);
+        } else {
+            connection.discard();
+        }
     }
 
     void connectionClosed(ServerConnection connection) {
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -92,6 +92,8 @@
         this.peers = new PeerTable(self);
         this.connectionPool =
                 new ServerConnectionPool(eventLoop, platform.dialect(), System::nanoTime, settings.responseLimits());
+        metrics.gauge("coltsfootquay_unsolicited_responses", connectionPool::unsolicitedCount);
+        metrics.gauge("coltsfootquay_unsolicited_servers", connectionPool::unsolicitedServerCount);
         this.forwarding = new ForwardingContext(
                 settings.id(),
                 settings.zone(),
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -135,6 +135,28 @@
         assertEquals(4, server.connections.get());
     }
 
+    /** Without a kept connection, each broken one looked like the crash of its server. */
+    @Test
+    void brokenConnectionOfAServerWithoutKeptConnectionsIsNoCrash() throws Exception {
+        start((head, output, socket) -> {
+            if (id(head).equals("first-2")) {
+                socket.close();
+            } else {
+                output.write(ScriptedServer.ascii(success(id(head)).repeat(2)));
+            }
+        });
+        assertTrue(callUntilRun("/once/a", "first-1").startsWith("HTTP/1.1 200"));
+        assertTrue(callUntilRun("/once/a", "first-2").startsWith("HTTP/1.1 502"));
+        Thread.sleep(100);
+        assertTrue(callUntilRun("/once/a", "first-3").startsWith("HTTP/1.1 200"));
+        assertEquals(
+                0,
+                fixture.context
+                        .metrics()
+                        .counter("coltsfootquay_server_crashes_total")
+                        .getCount());
+    }
+
     /** Replaces the server. */
     private ScriptedServer start(ScriptedServer.Script script) throws Exception {
         stop();
