Check the emulated engines by the time at which the router sent a request

Two causes in traces, both of the test.

The rule is about requests that a router sends after it was answered. The time of sending is now a header of the test, so a request that is sent too late is a violation as before, whenever it is read. The time of a notice is that of its end of writing, on a connection that the router has not closed.

--- a/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EmulatedEngine.java
@@ -45,8 +45,11 @@
 
     private static final Pattern ID = Pattern.compile("(?im)^X-Id: (\\S+)");
     private static final Pattern PARTS = Pattern.compile("(?im)^X-Parts: (\\S+)");
+    private static final Pattern SENT = Pattern.compile("(?im)^X-Sent: (\\d+)");
     private static final Pattern RESUME = Pattern.compile("(?im)^X-Resume: (\\d+)");
 
+    private static final String LEAVING = "X-Leaving: 1\r\n";
+
     /** Number of executions by request. */
     final Map<String, Integer> executions = new ConcurrentHashMap<>();
 
@@ -128,18 +131,17 @@
             crash();
             return;
         }
-        EngineConnection connection = connections.computeIfAbsent(socket, key -> new EngineConnection(output));
+        EngineConnection connection = connections.computeIfAbsent(socket, key -> new EngineConnection(socket, output));
         Reply reply;
         synchronized (this) {
-            checkArrival(id, System.nanoTime());
-            boolean disturbed = connection.disturbed();
+            checkArrival(id, Long.parseLong(find(SENT, head)));
             reply = reply(head, id, connection);
-            if (leaving && !leavingSent && reply.readable && !disturbed) {
-                leavingSent = true;
-                leavingSentNanos = System.nanoTime();
-            }
         }
+        boolean disturbed = (leaving || reply.pauseSeconds > 0) && connection.disturbed();
         connection.send(reply.text);
+        if (reply.readable && !disturbed) {
+            noticesSent(id, reply, System.nanoTime());
+        }
         if (reply.close) {
             socket.close();
         } else if (!reply.late.isEmpty()) {
@@ -160,6 +162,23 @@
         }
     }
 
+    /** Starts the times after which requests are checked; a router can only know what has been sent to it. */
+    private synchronized void noticesSent(String id, Reply reply, long nowNanos) {
+        if (reply.text.contains(LEAVING) && !leavingSent) {
+            leavingSent = true;
+            leavingSentNanos = nowNanos;
+        }
+        long end = nowNanos + (long) (reply.pauseSeconds * Duration.ofSeconds(1).toNanos());
+        if (reply.pauseSeconds > 0 && (!paused || end - pauseEndNanos > 0)) {
+            paused = true;
+            pauseSentNanos = nowNanos;
+            pauseEndNanos = end;
+            arrivalsInPause = 0;
+            pauseRequest = id;
+        }
+    }
+
+    /** Checks a request by the time at which the router sent it, since a busy machine may delay its arrival here. */
     private void checkArrival(String id, long now) {
         if (leavingSent && now - leavingSentNanos > DRAIN_TIME.toNanos()) {
             violations.add("DRAIN: " + id + " reached an engine "
@@ -184,9 +203,8 @@
             }
             return executed(id, new Reply(success(head, id), false, true));
         }
-        boolean disturbed = connection.disturbed();
         return switch (random.nextInt(9)) {
-            case 0 -> new Reply(refusal(id, "Retry-After: " + pause(id, disturbed) + "\r\n"), false, true);
+            case 0 -> pause(id);
             case 1 -> new Reply(refusal(id, ""), false, true);
             case 2 -> new Reply(refusal(id, "Retry-After: soon\r\n"), false, true);
             case 3 -> executed(id, new Reply(earlierRefusal() + success(head, id), false, false));
@@ -235,18 +253,9 @@
         return new Reply(first, false, false, second, 1 + random.nextInt(MAX_LATE_MILLIS));
     }
 
-    private String pause(String id, boolean disturbed) {
+    private Reply pause(String id) {
         double seconds = 0.6 + random.nextInt(10) / 10.0;
-        long now = System.nanoTime();
-        long end = now + (long) (seconds * Duration.ofSeconds(1).toNanos());
-        if (!disturbed && (!paused || end - pauseEndNanos > 0)) {
-            paused = true;
-            pauseSentNanos = now;
-            pauseEndNanos = end;
-            arrivalsInPause = 0;
-            pauseRequest = id;
-        }
-        return String.valueOf(seconds);
+        return new Reply(refusal(id, "Retry-After: " + seconds + "\r\n"), false, true, "", 0, seconds);
     }
 
     private String refusal(String id, String headers) {
@@ -307,7 +316,7 @@
     }
 
     private String notice() {
-        return leaving ? "X-Leaving: 1\r\n" : "";
+        return leaving ? LEAVING : "";
     }
 
     private String part(String text) {
@@ -336,8 +345,14 @@
      * @param readable whether the router is certain to read the head of the response to this request
      * @param late bytes to write later, empty for none
      * @param lateMillis delay of these bytes in milliseconds, negative until the next response
+     * @param pauseSeconds pause that the response asks for, 0 for none
      */
-    private record Reply(String text, boolean close, boolean readable, String late, int lateMillis) {
+    private record Reply(
+            String text, boolean close, boolean readable, String late, int lateMillis, double pauseSeconds) {
+
+        private Reply(String text, boolean close, boolean readable, String late, int lateMillis) {
+            this(text, close, readable, late, lateMillis, 0);
+        }
 
         private Reply(String text, boolean close, boolean readable) {
             this(text, close, readable, "", 0);
--- a/router/src/test/java/org/coltsfootquay/router/forward/EngineConnection.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/EngineConnection.java
@@ -2,22 +2,50 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import org.coltsfootquay.router.backend.ScriptedServer;
 
 /** Connection of an {@link EmulatedEngine} on which late responses can be sent. May be used from any thread. */
 final class EngineConnection {
 
+    private final Socket socket;
     private final OutputStream output;
     private String held = "";
     private boolean disturbed;
 
-    EngineConnection(OutputStream output) {
+    EngineConnection(Socket socket, OutputStream output) {
+        this.socket = socket;
         this.output = output;
     }
 
     /** Returns whether the client may be unable to read the next response. */
     synchronized boolean disturbed() {
-        return disturbed;
+        return disturbed || closedByClient();
+    }
+
+    /** Returns whether the client has closed the connection; it sends nothing while it waits for a response. */
+    private boolean closedByClient() {
+        try {
+            socket.setSoTimeout(1);
+            boolean closed = socket.getInputStream().read() < 0;
+            socket.setSoTimeout(0);
+            return closed;
+        } catch (SocketTimeoutException e) {
+            return !resetTimeout();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private boolean resetTimeout() {
+        try {
+            socket.setSoTimeout(0);
+            return true;
+        } catch (SocketException e) {
+            return false;
+        }
     }
 
     /** Records that bytes are sent that belong to no request in progress. */
--- a/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/TestDialect.java
@@ -39,6 +39,7 @@
     public HttpHeaders serverHeaders(HttpHeaders callerHeaders, ForwardMetadata metadata) {
         HttpHeaders headers = HeaderUtils.copyEndToEnd(callerHeaders);
         headers.set("X-Deadline", metadata.remaining().toMillis());
+        headers.set("X-Sent", System.nanoTime());
         headers.set("X-Server", metadata.server().server().value());
         metadata.resumeAfter().ifPresent(id -> headers.set("X-Resume", id));
         return headers;
