Reject bodies that contain a late response to the previous request

A caller got a success whose body consisted of its beginning, a whole late response to the previous request of the connection, and a part of its rest.

Cause: RepeatedHeadDetector looked for the id of the current request only. A late response that arrives between two parts of a body bears the id of the previous request. The length of the body was then reached before its end, and the rest was treated as unexpected bytes behind a whole response.

Evidence: JoinedResponseTest.lateResponseWithinABodyIsNotServedAsThatBody failed before this change with the status 200 and the late response in the body; with it, the caller gets 502.

The detector also looks for the id of the previous request. In addition, a body that contains a status line is rejected if bytes follow its end that cannot begin a response, since a late response may belong to an earlier request or bear no id.

--- a/router/src/main/java/org/coltsfootquay/router/forward/RepeatedHeadDetector.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RepeatedHeadDetector.java
@@ -2,14 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import org.coltsfootquay.router.channel.StatusLineScanner;
 
 /**
- * Finds, in the body of a response, the head of another response to the same request; not thread-safe.
+ * Finds, in the body of a response, the head of another response of the same connection; not thread-safe.
  *
  * <p>A server that stops within a body and then sends the response again completes the body with the head of the
- * second one. A status line alone is no evidence, since a body may quote one; the id of the request in the lines that
- * follow it is.
+ * second one; a late second response to the previous request may also come between two parts of a body. A status line
+ * alone is no evidence, since a body may quote one; the id of one of these requests in the lines that follow it is.
  */
 final class RepeatedHeadDetector {
 
@@ -18,10 +19,11 @@
 
     private static final String HEAD_END = "\r\n\r\n";
 
-    private final String requestId;
+    private final Set<String> requestIds;
     private StatusLineScanner scanner = new StatusLineScanner();
     private final StringBuilder head = new StringBuilder();
     private boolean found;
+    private boolean containsStatusLine;
 
     /**
      * Creates a detector.
@@ -29,22 +31,39 @@
      * @param requestId id of the request whose response is scanned; empty if it has none, so that nothing is found
      */
     RepeatedHeadDetector(String requestId) {
-        this.requestId = requestId;
+        this(requestId, "");
+    }
+
+    /**
+     * Creates a detector for a connection that has carried another request before.
+     *
+     * @param requestId id of the request whose response is scanned; empty if it has none, so that nothing is found
+     * @param previousId id of the previous request of the connection; empty if there is none
+     */
+    RepeatedHeadDetector(String requestId, String previousId) {
+        if (requestId.isEmpty()) {
+            this.requestIds = Set.of();
+        } else if (previousId.isEmpty() || previousId.equals(requestId)) {
+            this.requestIds = Set.of(requestId);
+        } else {
+            this.requestIds = Set.of(requestId, previousId);
+        }
     }
 
     /**
      * Scans the next part of a body; does not change its indexes.
      *
      * @param bytes part of the body
-     * @return true if the head of another response to the request was found in the body so far
+     * @return true if the head of another response to one of the requests was found in the body so far
      */
     boolean scan(ByteBuf bytes) {
         int start = bytes.readerIndex();
-        while (start < bytes.writerIndex() && !found && !requestId.isEmpty()) {
+        while (start < bytes.writerIndex() && !found && !requestIds.isEmpty()) {
             if (!scanner.found()) {
                 if (!scanner.scan(bytes.slice(start, bytes.writerIndex() - start))) {
                     return false;
                 }
+                containsStatusLine = true;
                 start += scanner.endIndex();
             }
             start += addToHead(bytes, start);
@@ -57,6 +76,11 @@
         return !found && (scanner.found() || scanner.withinStatusLine());
     }
 
+    /** Returns whether the body scanned so far contains a status line, which it may only quote. */
+    boolean containsStatusLine() {
+        return containsStatusLine;
+    }
+
     /** Adds bytes to the head in question and returns how many of them belong to it. */
     private int addToHead(ByteBuf bytes, int start) {
         int length = Math.min(bytes.writerIndex() - start, MAX_HEAD_BYTES - head.length());
@@ -78,6 +102,6 @@
 
     private boolean bearsRequestId(String line) {
         int colon = line.indexOf(':');
-        return colon > 0 && line.substring(colon + 1).strip().equals(requestId);
+        return colon > 0 && requestIds.contains(line.substring(colon + 1).strip());
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -127,10 +127,10 @@
             String id,
             ServerResponseListener responseListener) {
         listener = responseListener;
+        repeatedHead = new RepeatedHeadDetector(id, requestId);
         requestId = id;
         discarding = false;
         responseStarted = false;
-        repeatedHead = new RepeatedHeadDetector(id);
         headBytes = 0;
         requests++;
         receivedBytes = 0;
@@ -319,7 +319,7 @@
             return;
         }
         boolean last = content instanceof LastHttpContent;
-        if (repeatedHead.scan(bytes) || (last && repeatedHead.withinHead() && decoder.undecodedIsNoResponse())) {
+        if (repeatedHead.scan(bytes) || (last && endsWithinAnotherResponse())) {
             desynchronized("joined_answer", "head of a second response within the body");
             return;
         }
@@ -336,6 +336,11 @@
         }
     }
 
+    /** Returns whether the length of a body that contains the beginning of a response ends before that response. */
+    private boolean endsWithinAnotherResponse() {
+        return (repeatedHead.withinHead() || repeatedHead.containsStatusLine()) && decoder.undecodedIsNoResponse();
+    }
+
     private void finish() {
         ServerResponseListener finished = listener;
         listener = null;
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -96,6 +96,24 @@
         }
     }
 
+    /** The caller got a success whose body contained the late response in place of its end. */
+    @Test
+    void lateResponseWithinABodyIsNotServedAsThatBody() throws Exception {
+        String body = "0123456789".repeat(100);
+        for (String lateId : List.of("first-1", "earlier")) {
+            start((head, output, socket) -> {
+                String id = id(head);
+                String own = "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: seal\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n";
+                String late = id.startsWith("first") ? "" : success(lateId);
+                output.write(ScriptedServer.ascii(own + body.substring(0, 500) + late + body.substring(500)));
+            });
+            assertTrue(callUntilRun("/once/a", "first-1").startsWith("HTTP/1.1 200"));
+            String response = callUntilRun("/once/a", "other-1");
+            assertTrue(response.startsWith("HTTP/1.1 502"), lateId + ": " + response);
+        }
+    }
+
     /** The part waited in the decoder of the idle connection until the next response completed it. */
     @Test
     void partOfAResponseOnAnIdleConnectionEndsTheConnection() throws Exception {
--- a/router/src/test/java/org/coltsfootquay/router/forward/RepeatedHeadDetectorTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/RepeatedHeadDetectorTest.java
@@ -55,6 +55,20 @@
         assertTrue(scan("4f2a", endless + HEAD));
     }
 
+    @Test
+    void headWithTheIdOfThePreviousRequestIsFound() {
+        RepeatedHeadDetector detector = new RepeatedHeadDetector("5b3c", "4f2a");
+        assertTrue(detector.scan(buffer("beginning" + HEAD)));
+    }
+
+    @Test
+    void headWithoutAnyOfTheIdsIsAStatusLineOnly() {
+        RepeatedHeadDetector detector = new RepeatedHeadDetector("5b3c", "6d4e");
+        assertFalse(detector.containsStatusLine());
+        assertFalse(detector.scan(buffer("beginning" + HEAD + "rest")));
+        assertTrue(detector.containsStatusLine());
+    }
+
     @Test
     void nothingIsFoundForARequestWithoutId() {
         assertFalse(scan("", HEAD.replace("4f2a", "")));
