Reject a body that ends before an H of the second response within it

A caller got a success whose body ended with the status line of an error.

Cause: a body that ends within the head of another response is rejected if the bytes behind it cannot begin a response, but only their first byte was compared. A header such as Host, directly behind the end of the body, passed.

Evidence: JoinedResponseTest.bodyThatEndsBeforeAHeaderOfASecondResponseIsNotServed; before this change, the same bytes gave 200 with the status line in the body. Now the beginning of the version is compared, as far as it is received.

--- a/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
@@ -40,6 +40,9 @@
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
 
+    /** Beginning of a status line. */
+    private static final String PREFIX = "HTTP/1.";
+
     /** First byte of the status line. */
     private static final byte FIRST_BYTE = 'H';
 
@@ -98,8 +101,14 @@
      * @return true if such input follows the last decoded object
      */
     public boolean undecodedIsNoResponse() {
-        return actualReadableBytes() > 0
-                && internalBuffer().getByte(internalBuffer().readerIndex()) != FIRST_BYTE;
+        ByteBuf undecoded = internalBuffer();
+        int length = Math.min(actualReadableBytes(), PREFIX.length());
+        for (int i = 0; i < length; i++) {
+            if (undecoded.getByte(undecoded.readerIndex() + i) != PREFIX.charAt(i)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     @Override
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -114,6 +114,20 @@
         }
     }
 
+    /** The caller got a success whose body ended with the status line of an error. */
+    @Test
+    void bodyThatEndsBeforeAHeaderOfASecondResponseIsNotServed() throws Exception {
+        String statusLine = "HTTP/1.1 500 Internal Server Error\r\n";
+        start((head, output, socket) -> {
+            String id = id(head);
+            output.write(ScriptedServer.ascii("HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: seal\r\nContent-Length: "
+                    + (4 + statusLine.length()) + "\r\n\r\nbody" + statusLine + "Host-Name: a\r\nX-Id: " + id
+                    + "\r\nContent-Length: 0\r\n\r\n"));
+        });
+        String response = callUntilRun("/once/a", "other-1");
+        assertTrue(response.startsWith("HTTP/1.1 502"), response);
+    }
+
     /** The part waited in the decoder of the idle connection until the next response completed it. */
     @Test
     void partOfAResponseOnAnIdleConnectionEndsTheConnection() throws Exception {
