Do not treat the end of a connection within a head as a second response

Connections to a server were not reused for ten seconds, and each request paid for a new one, because the server had closed one connection within a head. The crash detector did not learn of the closed connection either.

Cause: the decoder reports the end of the connection within a head as a malformed head, which counted as evidence of a second response.

Evidence: JoinedResponseTest.endOfAConnectionWithinAHeadDoesNotPreventReuse; before this change the cause was unreadable_answer and the server was listed as one whose connections are not reused. If the input has ended, the response now fails as closed.

--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -251,6 +251,11 @@
 
     private void readResponseHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            if (inputEnded) {
+                fail("closed");
+                ChannelUtils.close(channelContext.channel());
+                return;
+            }
             desynchronized("unreadable_answer", response.decoderResult().cause().getMessage());
             return;
         }
--- a/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/JoinedResponseTest.java
@@ -189,6 +189,24 @@
                         .getCount());
     }
 
+    /** Connections were not reused for a time because a server had closed one of them within a head. */
+    @Test
+    void endOfAConnectionWithinAHeadDoesNotPreventReuse() throws Exception {
+        ScriptedServer server = start((head, output, socket) -> {
+            boolean ends = id(head).equals("ends");
+            output.write(ScriptedServer.ascii(ends ? "HTTP/1.1 200 OK\r\nX-Id: ends\r\n" : success(id(head))));
+            if (ends) {
+                socket.close();
+            }
+        });
+        String response = callUntilRun("/once/a", "ends");
+        assertTrue(response.startsWith("HTTP/1.1 502") && response.contains("closed"), response);
+        for (int i = 1; i <= 3; i++) {
+            assertTrue(callUntilRun("/once/a", "first-" + i).startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(2, server.connections.get());
+    }
+
     /** Replaces the server. */
     private ScriptedServer start(ScriptedServer.Script script) throws Exception {
         stop();
