Send no bodies in responses to HEAD requests

A caller that sent a HEAD request on a kept connection and got an error of the router read its body as the beginning of the response to its next request.

Cause: HttpResponseEncoder does not know the method of the request and encodes the body of each response. Streams that answer a HEAD request had the same fault: a last chunk followed their head.

The encoder now knows whether the request in progress is a HEAD request.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -278,6 +279,7 @@
     private void start(BufferedRequest request, HttpRequest requestHead, boolean persistent) {
         busy = true;
         currentRequest = request;
+        encoder().setHeadRequest(request.method().equals(HttpMethod.HEAD));
         keepAlive = persistent;
         long arrivalNanos = context.timers().nowNanos();
         Runnable start = () -> {
@@ -452,8 +454,13 @@
         var unused = context.timers().scheduleOnce("unread body", MAX_DISCARD_TIME, () -> ChannelUtils.close(channel));
     }
 
+    private CallerResponseEncoder encoder() {
+        return channelContext.pipeline().get(CallerResponseEncoder.class);
+    }
+
     private void responseSent() {
         busy = false;
+        encoder().setHeadRequest(false);
         currentRelay = null;
         releaseRequest();
         idleSinceNanos = context.timers().nowNanos();
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnections.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnections.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -83,7 +82,7 @@
                 .addLast(new StrictRequestDecoder(context.configuration()
                         .map(configuration -> configuration.limits().maxHeaderBytes())
                         .orElse(DEFAULT_MAX_HEADER_BYTES)))
-                .addLast(new HttpResponseEncoder())
+                .addLast(new CallerResponseEncoder())
                 .addLast(new CallerConnection(context, this));
     }
 
