Complete responses to HEAD requests with their head

Callers of HEAD requests got 504 at their deadline although the server had responded with a Content-Length, as for GET.

Cause: the decoder of server connections is not told the method and waits for a body that does not follow.

Evidence: HeadRequestTest.responseIsCompleteWithItsHead fails before this change. The decoder is told of the method of each request that is sent; the connection stays usable.

--- a/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/channel/StrictResponseDecoder.java
@@ -57,6 +57,7 @@
 
     private Part part = Part.NONE;
     private StatusLineScanner scanner;
+    private boolean headRequest;
 
     /**
      * Creates a decoder.
@@ -75,6 +76,15 @@
                 .setUseRfc9112TransferEncoding(true));
     }
 
+    /**
+     * Sets what the next responses answer; a response to a HEAD request has no body, whatever its headers state.
+     *
+     * @param headRequest whether they answer a HEAD request
+     */
+    public void setHeadRequest(boolean headRequest) {
+        this.headRequest = headRequest;
+    }
+
     /**
      * Returns whether input was received that belongs to no complete response. A connection must not be reused then.
      *
@@ -158,6 +168,11 @@
         }
     }
 
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return headRequest || super.isContentAlwaysEmpty(message);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         if (!VERSION.matcher(initialLine[0]).matches()) {
--- a/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ServerConnection.java
@@ -61,6 +61,7 @@
     private boolean responseStarted;
     private int headBytes;
     private boolean reusable;
+    private boolean headRequest;
     private boolean endsWithConnection;
     private boolean inputEnded;
     private String failureCause;
@@ -129,6 +130,8 @@
         listener = responseListener;
         repeatedHead = new RepeatedHeadDetector(id, requestId);
         requestId = id;
+        headRequest = method.equals(HttpMethod.HEAD);
+        decoder.setHeadRequest(headRequest);
         discarding = false;
         responseStarted = false;
         headBytes = 0;
@@ -290,7 +293,7 @@
             return;
         }
         responseStarted = true;
-        endsWithConnection = HeaderUtils.endsWithConnection(response);
+        endsWithConnection = !headRequest && HeaderUtils.endsWithConnection(response);
         reusable = HttpUtil.isKeepAlive(response);
         String keepAlive = response.headers().get("Keep-Alive");
         if (keepAlive != null) {
