--- a/router/src/test/java/org/coltsfootquay/router/forward/HeadRequestTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/HeadRequestTest.java
@@ -28,8 +28,8 @@
     /** The caller waited until its deadline, since the router waited for a body. */
     @Test
     void responseIsCompleteWithItsHead() throws Exception {
-        ScriptedServer server = fixture.serve((head, output, socket) -> output.write(ScriptedServer.ascii(
-                "HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Seal: seal\r\nContent-Length: 5\r\n\r\n")));
+        ScriptedServer server = fixture.serve((head, output, socket) -> output.write(
+                ScriptedServer.ascii("HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Seal: seal\r\nContent-Length: 5\r\n\r\n")));
         for (int i = 0; i < 3; i++) {
             String response = fixture.call("HEAD", "/once/a", "id");
             assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("\r\n\r\n"), response);
@@ -42,8 +42,8 @@
     void errorHasNoBody() throws Exception {
         for (String path : List.of("/none/a", "/once/a", "/stream/a")) {
             String request = " HTTP/1.1\r\nHost: host\r\nX-Id: id\r\nX-Key: good\r\n";
-            String response = fixture.sendRaw("HEAD " + path + request + "\r\nGET /none/a" + request
-                    + "Connection: close\r\n\r\n");
+            String response = fixture.sendRaw(
+                    "HEAD " + path + request + "\r\nGET /none/a" + request + "Connection: close\r\n\r\n");
             int second = response.indexOf("\r\n\r\n") + 4;
             assertTrue(response.startsWith("HTTP/1.1 404", second), response);
             assertTrue(response.endsWith("}\n"), response);
