--- a/decision/src/main/java/org/coltsfootquay/decision/backend/ConnectionReuse.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/backend/ConnectionReuse.java
@@ -14,7 +14,7 @@
  */
 public final class ConnectionReuse {
 
-    /** Time without reuse after the first evidence; longer than servers usually delay a second response. */
+    /** Time without reuse after the first evidence. */
     static final Duration MIN_PAUSE = Duration.ofSeconds(10);
 
     /** Longest time without reuse, and the time without evidence after which a server is forgotten. */
--- a/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/backend/BackendExchange.java
@@ -107,7 +107,7 @@
             return false;
         }
         if (part instanceof HttpResponse && !informational && request.method().equals("HEAD")) {
-            // The decoder does not know that no body follows, so the connection is not reused.
+            // The decoder is not told that no body follows, so the connection is not reused.
             keepAlive = false;
             end();
             return true;
