Log why requests are admitted or refused, and the revision of a configuration

Each decision now has a reason, the waits for prefill and for a slot, and the dispatched tokens and share it was based on; request_done has the tokens, and configuration_in_force the revision at which the store committed it. A counter tells refusals apart by reason. No decision changes.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/AdmissionPolicy.java
@@ -20,9 +20,9 @@
      * @param meanWaitTime mean of the expected wait over all servers that could get the request
      * @param allowedTime time to the first event that the target of the route allows, besides the constant latency of
      *     the server
-     * @return true if the request may be dispatched
+     * @return decision with its reason
      */
-    boolean admits(
+    AdmissionDecision decide(
             WorkspaceId workspace,
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.coltsfootquay.decision.admission.AdmissionDecision.Reason;
 import org.coltsfootquay.decision.common.WorkspaceId;
 
 /**
@@ -41,7 +42,7 @@
     }
 
     @Override
-    public boolean admits(
+    public AdmissionDecision decide(
             WorkspaceId workspace,
             double tokens,
             Supplier<Map<WorkspaceId, Demand>> demands,
@@ -50,24 +51,29 @@
             Duration allowedTime) {
         double waitFraction = fraction(waitTime, allowedTime);
         if (waitFraction <= CONTENTION_THRESHOLD) {
-            return true;
+            return AdmissionDecision.withoutShares(Reason.NO_WAIT);
         }
         if (waitFraction > MAX_WAIT_SHARE_BELOW_FAIR_SHARE) {
-            return false;
+            return AdmissionDecision.withoutShares(Reason.TOO_LATE);
         }
         if (waitFraction <= MAX_WAIT_SHARE && fraction(meanWaitTime, allowedTime) <= CONTENTION_THRESHOLD) {
             // The other servers have room, so the wait at this one does not come from workspaces over their share.
-            return true;
+            return AdmissionDecision.withoutShares(Reason.OTHER_SERVERS_FREE);
         }
         Map<WorkspaceId, Demand> all = demands.get();
         double fairShare = DemandTracker.maxMinFairShare(all.values());
         double dispatched = all.getOrDefault(workspace, Demand.NONE).dispatchedTokens();
+        return new AdmissionDecision(reason(waitFraction, dispatched, fairShare), dispatched, fairShare);
+    }
+
+    private static Reason reason(double waitFraction, double dispatched, double fairShare) {
         if (waitFraction <= MAX_WAIT_SHARE) {
-            return dispatched <= fairShare * SHARE_TOLERANCE;
+            return dispatched <= fairShare * SHARE_TOLERANCE ? Reason.WITHIN_SHARE : Reason.ABOVE_SHARE;
         }
         // The share is unbounded while everything that was requested is dispatched; no workspace is below it then.
         double missing = fairShare == Double.MAX_VALUE ? 0 : 1 - dispatched / Math.max(1, fairShare);
-        return waitFraction <= MAX_WAIT_SHARE + (MAX_WAIT_SHARE_BELOW_FAIR_SHARE - MAX_WAIT_SHARE) * missing;
+        double limit = MAX_WAIT_SHARE + (MAX_WAIT_SHARE_BELOW_FAIR_SHARE - MAX_WAIT_SHARE) * missing;
+        return waitFraction <= limit ? Reason.WITHIN_SHARE : Reason.WAIT_TOO_LONG;
     }
 
     private static double fraction(Duration waitTime, Duration allowedTime) {
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/PromptLocalitySelector.java
@@ -152,7 +152,7 @@
                 constantMillis + Math.max(prefillWait, slotWait) + prefillTokens * millisPerToken,
                 constantMillis,
                 prefillWait,
-                slotWait > prefillWait);
+                slotWait);
     }
 
     /** Returns the time until enough running requests have ended for one more to start. */
@@ -210,7 +210,7 @@
             double latencyMillis,
             double constantMillis,
             double prefillWaitMillis,
-            boolean queuedForSlot) {
+            double slotWaitMillis) {
 
         private SelectedServer toSelectedServer(double meanWaitMillis) {
             return new SelectedServer(
@@ -221,7 +221,7 @@
                     duration(constantMillis),
                     duration(prefillWaitMillis),
                     duration(meanWaitMillis),
-                    queuedForSlot);
+                    duration(slotWaitMillis));
         }
     }
 }
--- a/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/selection/SelectedServer.java
@@ -14,7 +14,7 @@
  * @param waitTime time for which the request waits for the prefill of others; the number of requests in flight, from
  *     which the wait for a free slot is estimated, is too old in a large fleet to reject requests by it
  * @param meanWaitTime mean of this time over all servers that could get the request
- * @param queuedForSlot true if the request is expected to wait for a free slot rather than for prefill
+ * @param slotWaitTime time for which the request waits for a free slot, while others are prefilled
  */
 public record SelectedServer(
         BackendEntry entry,
@@ -24,7 +24,7 @@
         Duration constantTime,
         Duration waitTime,
         Duration meanWaitTime,
-        boolean queuedForSlot) {
+        Duration slotWaitTime) {
 
     /**
      * Returns the selection of a server whose latency is not estimated.
@@ -33,7 +33,8 @@
      * @return selection without expected times
      */
     public static SelectedServer withoutEstimate(BackendEntry entry) {
-        return new SelectedServer(entry, 0, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, false);
+        return new SelectedServer(
+                entry, 0, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO);
     }
 
     /**
@@ -44,4 +45,13 @@
     public Duration queueTime() {
         return constantTime.plus(waitTime);
     }
+
+    /**
+     * Returns whether the request is expected to wait for a free slot rather than for prefill.
+     *
+     * @return true if the wait for a slot is longer
+     */
+    public boolean queuedForSlot() {
+        return slotWaitTime.compareTo(waitTime) > 0;
+    }
 }
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/FairSharePolicyTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.coltsfootquay.decision.admission.AdmissionDecision.Reason;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.junit.jupiter.api.Test;
@@ -25,44 +26,49 @@
 
     @Test
     void everyRequestIsAdmittedWhileTheWaitIsShort() {
-        assertTrue(policy.admits(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(20), Duration.ofMillis(20), TARGET));
+        assertTrue(policy.decide(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(20), Duration.ofMillis(20), TARGET)
+                .admitted());
     }
 
     @Test
     void workspaceAboveTheFairShareIsRejectedUnderContention() {
-        assertFalse(policy.admits(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(300), TARGET));
+        assertFalse(policy.decide(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(300), TARGET)
+                .admitted());
     }
 
     /** In a large fleet some server nearly always has a queue, which is no overload of the fleet. */
     @Test
     void workspaceAboveTheFairShareIsAdmittedWhileOtherServersHaveRoom() {
-        assertTrue(policy.admits(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(10), TARGET));
+        assertTrue(policy.decide(HEAVY, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(10), TARGET)
+                .admitted());
     }
 
     @Test
     void workspaceBelowTheFairShareIsAdmittedUnderContention() {
-        assertTrue(policy.admits(LIGHT, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(300), TARGET));
+        assertTrue(policy.decide(LIGHT, 10, () -> CONTENDED, Duration.ofMillis(300), Duration.ofMillis(300), TARGET)
+                .admitted());
     }
 
     /** Above the wait at which workspaces at their share are rejected, those below it were rejected as often. */
     @Test
     void workspaceBelowTheFairShareIsRejectedLaterThanTheOthers() {
         Duration wait = Duration.ofMillis(440);
-        assertTrue(policy.admits(LIGHT, 10, () -> CONTENDED, wait, wait, TARGET));
-        assertFalse(policy.admits(HEAVY, 10, () -> CONTENDED, wait, wait, TARGET));
+        assertTrue(policy.decide(LIGHT, 10, () -> CONTENDED, wait, wait, TARGET).admitted());
+        assertFalse(
+                policy.decide(HEAVY, 10, () -> CONTENDED, wait, wait, TARGET).admitted());
     }
 
     @Test
     void noWorkspaceIsBelowItsShareWhileEverythingIsDispatched() {
         Map<WorkspaceId, Demand> demands = Map.of(LIGHT, new Demand(100, 100), HEAVY, new Demand(1000, 1000));
         Duration wait = Duration.ofMillis(440);
-        assertFalse(policy.admits(LIGHT, 10, () -> demands, wait, wait, TARGET));
+        assertFalse(policy.decide(LIGHT, 10, () -> demands, wait, wait, TARGET).admitted());
     }
 
     @Test
     void everyRequestIsRejectedWhenTheResponseWouldBeTooLate() {
-        assertFalse(
-                policy.admits(LIGHT, 10, () -> CONTENDED, Duration.ofMillis(1100), Duration.ofMillis(1100), TARGET));
+        assertFalse(policy.decide(LIGHT, 10, () -> CONTENDED, Duration.ofMillis(1100), Duration.ofMillis(1100), TARGET)
+                .admitted());
     }
 
     @Test
@@ -84,9 +90,9 @@
     @Test
     void floodByOneWorkspaceDoesNotStarveTheOthers() {
         Map<WorkspaceId, Double> fair = simulateFlood(policy);
-        Map<WorkspaceId, Double> firstComeFirstServed =
-                simulateFlood((workspace, tokens, demands, queueTime, meanQueueTime, target) ->
-                        queueTime.compareTo(Duration.ofSeconds(1)) <= 0);
+        Map<WorkspaceId, Double> firstComeFirstServed = simulateFlood(
+                (workspace, tokens, demands, queueTime, meanQueueTime, target) -> AdmissionDecision.withoutShares(
+                        queueTime.compareTo(Duration.ofSeconds(1)) <= 0 ? Reason.NO_WAIT : Reason.TOO_LATE));
         assertTrue(fair.get(LIGHT) > 0.9, "served fraction of a light workspace: " + fair.get(LIGHT));
         assertTrue(
                 firstComeFirstServed.get(LIGHT) < 0.5,
@@ -120,8 +126,14 @@
                 requested.merge(workspace, 1, Integer::sum);
                 tracker.recordRequested(service, workspace, tokens, now);
                 Duration queueTime = Duration.ofMillis((long) (queuedTokens / 1000 * 20));
-                if (policy.admits(
-                        workspace, tokens, () -> tracker.totalDemands(service, now), queueTime, queueTime, TARGET)) {
+                if (policy.decide(
+                                workspace,
+                                tokens,
+                                () -> tracker.totalDemands(service, now),
+                                queueTime,
+                                queueTime,
+                                TARGET)
+                        .admitted()) {
                     tracker.recordDispatched(service, workspace, tokens, now);
                     served.merge(workspace, 1, Integer::sum);
                     queuedTokens += tokens;
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/FleetShareTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/FleetShareTest.java
@@ -134,8 +134,9 @@
             DemandTracker tracker = trackers.get(random.nextInt(ROUTERS));
             tracker.recordRequested(SERVICE, workspace, REQUEST_TOKENS, now);
             Duration wait = Duration.ofNanos((long) (queuedTokens / PREFILL_TOKENS_PER_STEP * STEP.toNanos()));
-            boolean admitted = policy.admits(
-                    workspace, REQUEST_TOKENS, () -> tracker.totalDemands(SERVICE, now), wait, wait, TARGET);
+            boolean admitted = policy.decide(
+                            workspace, REQUEST_TOKENS, () -> tracker.totalDemands(SERVICE, now), wait, wait, TARGET)
+                    .admitted();
             if (admitted) {
                 tracker.recordDispatched(SERVICE, workspace, REQUEST_TOKENS, now);
                 queuedTokens += REQUEST_TOKENS;
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -4,11 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.coltsfootquay.decision.admission.AdmissionDecision;
+import org.coltsfootquay.decision.admission.AdmissionDecision.Reason;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.selection.SelectedServer;
+import org.coltsfootquay.decision.selection.ServerLoad;
 import org.coltsfootquay.router.log.EventLog;
 
 /** Log events of one request; each has the request id, so that the {@code explain} command finds them. */
@@ -28,21 +31,60 @@
         this.workspace = workspace.map(WorkspaceId::value).orElse(NONE);
     }
 
-    void notAdmitted(SelectedServer selectedServer) {
+    void notAdmitted(SelectedServer selectedServer, AdmissionDecision decision, ServerLoad load) {
         LOG.info(
                 "request_not_admitted",
                 "request",
                 requestId,
                 "server",
                 selectedServer.entry().server(),
+                "reason",
+                decision.reason(),
                 "queueMs",
                 selectedServer.queueTime().toMillis(),
+                "meanWaitMs",
+                selectedServer.meanWaitTime().toMillis(),
+                "slotWaitMs",
+                selectedServer.slotWaitTime().toMillis(),
                 "expectedMs",
                 selectedServer.expectedLatency().toMillis(),
                 "targetMs",
                 route.target().toMillis(),
+                "load",
+                load.requests(),
+                "slots",
+                selectedServer.entry().slots(),
                 "workspace",
-                workspace);
+                workspace,
+                "dispatched",
+                (long) decision.dispatchedTokens(),
+                "share",
+                (long) decision.fairShare());
+    }
+
+    /** Logs why a request that waits is admitted. */
+    void admitted(SelectedServer selectedServer, AdmissionDecision decision) {
+        if (decision.reason() == Reason.NO_WAIT && selectedServer.slotWaitTime().isZero()) {
+            return;
+        }
+        LOG.info(
+                "request_admitted",
+                "request",
+                requestId,
+                "reason",
+                decision.reason(),
+                "waitMs",
+                selectedServer.waitTime().toMillis(),
+                "meanWaitMs",
+                selectedServer.meanWaitTime().toMillis(),
+                "slotWaitMs",
+                selectedServer.slotWaitTime().toMillis(),
+                "workspace",
+                workspace,
+                "dispatched",
+                (long) decision.dispatchedTokens(),
+                "share",
+                (long) decision.fairShare());
     }
 
     void quarantined(Rejection rejection) {
@@ -109,7 +151,7 @@
         LOG.info("request_repeated", "request", requestId, "cause", cause, "sends", sends);
     }
 
-    void completed(String outcome, int status, int sends, Optional<Duration> first, Duration total) {
+    void completed(String outcome, int status, int sends, long tokens, Optional<Duration> first, Duration total) {
         LOG.info(
                 "request_done",
                 "request",
@@ -124,6 +166,8 @@
                 workspace,
                 "sends",
                 sends,
+                "tokens",
+                tokens,
                 "firstMs",
                 first.map(Duration::toMillis).orElse(-1L),
                 "totalMs",
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestAdmission.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestAdmission.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.coltsfootquay.decision.admission.AdmissionDecision;
+import org.coltsfootquay.decision.admission.AdmissionDecision.Reason;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.route.RouteKind;
@@ -54,21 +56,21 @@
     }
 
     /**
-     * Returns whether the selected server has capacity for the request.
+     * Decides whether the selected server has capacity for the request.
      *
      * @param server selected server
      * @param waited time since the request arrived
      * @param remaining time until its deadline
      */
-    boolean hasCapacity(SelectedServer server, Duration waited, Duration remaining) {
+    AdmissionDecision decide(SelectedServer server, Duration waited, Duration remaining) {
         if (server.expectedLatency().toNanos() > remaining.toNanos() * MAX_EXPECTED_TIME_SHARE) {
-            return false;
+            return AdmissionDecision.withoutShares(Reason.TOO_LATE);
         }
         if (service.cacheTokens() == 0 || route.target().isZero()) {
-            return true;
+            return AdmissionDecision.withoutShares(Reason.NO_WAIT);
         }
         return context.admission()
-                .admits(
+                .decide(
                         workspace,
                         weightedTokens(),
                         () -> context.demands().totalDemands(service.name(), now()),
@@ -95,7 +97,7 @@
     }
 
     /** Returns the request size for comparing workspaces: prompt tokens plus weighted maximum output tokens. */
-    private double weightedTokens() {
+    double weightedTokens() {
         return prompt.tokens() + OUTPUT_WEIGHT * prompt.maxOutputTokens();
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.coltsfootquay.decision.admission.AdmissionDecision;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.common.HashUtils;
 import org.coltsfootquay.decision.common.ServerName;
@@ -168,10 +169,18 @@
         }
         selectedServer = choice.get();
         Duration remaining = Duration.ofNanos(Math.max(0, deadlineNanos - now()));
-        if (!streaming && !mayHaveExecuted() && !admission.hasCapacity(selectedServer, waited(), remaining)) {
-            log.notAdmitted(selectedServer);
-            fail("no_room", RetryAfter.forQueueTime(selectedServer.queueTime(), route.target()));
-            return;
+        if (!streaming && !mayHaveExecuted()) {
+            AdmissionDecision decision = admission.decide(selectedServer, waited(), remaining);
+            if (!decision.admitted()) {
+                context.metrics().count("coltsfootquay_not_admitted_total{reason=\"" + decision.reason() + "\"}");
+                log.notAdmitted(
+                        selectedServer,
+                        decision,
+                        context.loads().totalLoad(selectedServer.entry().server()));
+                fail("no_room", RetryAfter.forQueueTime(selectedServer.queueTime(), route.target()));
+                return;
+            }
+            log.admitted(selectedServer, decision);
         }
         if (sends == 0 && !admission.canEndBeforeStop(selectedServer, remaining)) {
             fail(STOPPING, Duration.ZERO);
@@ -647,6 +656,7 @@
                 outcome,
                 status,
                 sends,
+                (long) admission.weightedTokens(),
                 firstEventNanos == 0 ? Optional.empty() : Optional.of(Duration.ofNanos(firstEventNanos - arrivalNanos)),
                 Duration.ofNanos(now() - arrivalNanos));
     }
--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -89,7 +89,12 @@
     private void applyOperator(Collection<TableRow> rows) {
         decoder.configuration(rows).ifPresent(configuration -> {
             if (forwarding.applyConfiguration(configuration)) {
-                LOG.info("configuration_in_force", "version", configuration.version());
+                LOG.info(
+                        "configuration_in_force",
+                        "version",
+                        configuration.version(),
+                        "revision",
+                        rows.stream().mapToLong(TableRow::revision).max().orElse(0));
             }
         });
         Set<ZoneName> zones = decoder.evacuatedZones(rows);
--- a/router/src/test/java/org/coltsfootquay/router/forward/ReservationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/ReservationTest.java
@@ -88,6 +88,6 @@
                 Duration.ZERO,
                 1);
         return new SelectedServer(
-                entry, prefillTokens, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, false);
+                entry, prefillTokens, 0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO);
     }
 }
