Let requests of workspaces below their share wait beyond the target

An engine whose queue is empty admits whoever comes first, which is mostly the flood; a few prompts of 17,000 tokens then fill the 0.75 for all.

A workspace that got nothing may now wait up to 1.2 of the allowed time, in proportion to what it lacks. A caller that is refused would return no earlier, and the others are still limited by 0.45.

--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -24,8 +24,11 @@
      */
     private static final double MAX_WAIT_SHARE = 0.45;
 
-    /** Wait, as a fraction of the allowed time, above which a workspace that got nothing is rejected. */
-    private static final double MAX_WAIT_SHARE_BELOW_FAIR_SHARE = 0.75;
+    /**
+     * Wait, as a fraction of the allowed time, above which a workspace that got nothing is rejected. Up to it, a
+     * response may be late, but a rejected caller would return no earlier.
+     */
+    private static final double MAX_WAIT_SHARE_BELOW_FAIR_SHARE = 1.2;
 
     /**
      * Wait, as a fraction of the allowed time, above which workspaces over their fair share are rejected; both the wait
