Compare copies of tables by their last change, not by the revision of a read

Cause: a router took the revision that a read states for a proof that its rows were current. If a read is older than its revision, the watch continues behind the missed change, the change in the beacons of others looks old, and their copies are refused.

The last changes that two copies include now decide which is later; rows of both keep their newer version, whatever the revisions are, and a copy without a newer row does not reconnect the watch. A row that only one copy has still follows the revision, so that a deleted row does not come back. TableWatcherTest has the smallest case.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
@@ -26,7 +26,7 @@
      * Records the table revision that a peer reports.
      *
      * @param peerRevision revision of the last change that the peer has
-     * @param localRevision revision up to which this router's copy is complete
+     * @param localRevision revision of the last change that this router has
      * @param pause time for which the own watch may pause after a change
      * @param nowNanos current time
      * @return true if the peer should be asked for its copy now
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -28,6 +28,7 @@
 import org.coltsfootquay.router.forward.PromptCacheUpdate;
 import org.coltsfootquay.router.log.EventLog;
 import org.coltsfootquay.router.neighbor.TableCopyExchange;
+import org.coltsfootquay.router.state.TableMirror;
 import org.coltsfootquay.router.state.TableWatcher;
 import org.coltsfootquay.router.state.WatchedTable;
 
@@ -350,14 +351,15 @@
     }
 
     private void compareRevision(PeerRouter peer, WatchedTable table, long peerRevision) {
-        long ownRevision = watcher.mirror(table).revision();
-        if (table == WatchedTable.ROUTERS && ownRevision > 0) {
+        TableMirror mirror = watcher.mirror(table);
+        if (table == WatchedTable.ROUTERS && mirror.revision() > 0) {
             // Beacons announce later registrations, so this table is copied only while this router has none.
             return;
         }
         boolean copyNeeded = lagMonitors
                 .computeIfAbsent(table, name -> new LagMonitor())
-                .recordPeerRevision(peerRevision, ownRevision, watcher.changeDelay(table), timers.nowNanos());
+                .recordPeerRevision(
+                        peerRevision, mirror.changeRevision(), watcher.changeDelay(table), timers.nowNanos());
         if (copyNeeded && !fetchesInProgress.getOrDefault(table, false)) {
             fetchesInProgress.put(table, true);
             copyExchange.fetch(peer, table, () -> fetchesInProgress.put(table, false));
--- a/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -2,14 +2,17 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Copy of one table of the store; used on one event loop.
  *
  * <p>The copy never reverts to an older revision: older changes and older full copies are ignored. The revision that a
- * watch reports without any change does not prove that the copy is complete, since a watch may miss changes while the
- * store drops its history; it only says where the next watch continues.
+ * watch or a read reports does not prove that the copy is complete, since a watch may miss changes while the store
+ * drops its history, and a read may be older than its revision. Which of two routers has the later copy therefore
+ * follows from the last changes that the copies include.
  */
 public final class TableMirror {
 
@@ -80,6 +83,34 @@
         return true;
     }
 
+    /**
+     * Merges the copy of another router that includes a later change.
+     *
+     * <p>A row of both copies keeps its newer version, whatever the revisions of the copies are. A row that only one
+     * copy has was added or deleted; the copy with the higher revision decides.
+     *
+     * @param newRows all rows of the other copy
+     * @param newRevision revision up to which they are complete
+     * @param newChangeRevision revision of their last change
+     * @return false if no row has changed
+     */
+    public boolean merge(Collection<TableRow> newRows, long newRevision, long newChangeRevision) {
+        if (newChangeRevision <= changeRevision) {
+            return false;
+        }
+        List<TableRow> changes = newRows.stream().filter(this::isNewer).toList();
+        boolean changed = !changes.isEmpty();
+        if (newRevision > revision) {
+            Set<String> newKeys = newRows.stream().map(TableRow::key).collect(Collectors.toSet());
+            changed |= rows.keySet().retainAll(newKeys);
+            revision = newRevision;
+            watchRevision = Math.max(watchRevision, newRevision);
+        }
+        changes.forEach(row -> rows.put(row.key(), row));
+        changeRevision = newChangeRevision;
+        return changed;
+    }
+
     /**
      * Applies changes in order.
      *
@@ -88,8 +119,7 @@
      * @return changes that are newer than the copy
      */
     public List<TableRow> apply(List<TableRow> changes, long newRevision) {
-        List<TableRow> newChanges =
-                changes.stream().filter(row -> row.revision() > revision).toList();
+        List<TableRow> newChanges = changes.stream().filter(this::isNewer).toList();
         for (TableRow row : newChanges) {
             if (row.deleted()) {
                 rows.remove(row.key());
@@ -103,6 +133,12 @@
         return newChanges;
     }
 
+    /** Returns whether a change is not included; one of a row that is not held may precede its deletion. */
+    private boolean isNewer(TableRow change) {
+        TableRow current = rows.get(change.key());
+        return change.revision() > (current == null ? revision : current.revision());
+    }
+
     private boolean isOlder(TableRow row) {
         TableRow current = rows.get(row.key());
         return current != null && row.revision() < current.revision();
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -156,17 +156,17 @@
     }
 
     /**
-     * Replaces the copy of a table with a newer copy from another router.
+     * Merges a copy of a table from another router that includes a later change.
      *
      * @param table table
      * @param rows all rows
      * @param revision revision up to which they are complete
      * @param changeRevision revision of their last change
-     * @return false if the copy is not newer than the local copy
+     * @return false if no row has changed
      */
     public boolean adoptCopy(WatchedTable table, Collection<TableRow> rows, long revision, long changeRevision) {
         TableMirror mirror = mirror(table);
-        if (revision <= mirror.revision() || !mirror.replace(rows, revision, changeRevision)) {
+        if (!mirror.merge(rows, revision, changeRevision)) {
             return false;
         }
         LOG.info("table_copied", "table", table, "revision", revision);
--- a/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
@@ -31,25 +31,48 @@
 
     @Property(tries = 300)
     void everyRouterAppliesAChangeSoonAfterTheFirst(@ForAll long seed) {
-        Fleet fleet = new Fleet(seed);
+        assertChangesArrive(new Fleet(seed, Stamp.OF_THE_ROWS));
+    }
+
+    /** Routers took the revision of a read for a proof that its rows were current, and refused copies of others. */
+    @Property(tries = 300)
+    void everyRouterAppliesAChangeAlthoughReadsAreOlderThanTheirRevision(@ForAll long seed) {
+        assertChangesArrive(new Fleet(seed, Stamp.NEWEST));
+    }
+
+    @Property(tries = 300)
+    void noRouterReturnsToAnOlderVersion(@ForAll long seed) {
+        assertVersionsIncrease(new Fleet(seed, Stamp.OF_THE_ROWS));
+    }
+
+    @Property(tries = 300)
+    void noRouterReturnsToAnOlderVersionAlthoughReadsAreOlderThanTheirRevision(@ForAll long seed) {
+        assertVersionsIncrease(new Fleet(seed, Stamp.NEWEST));
+    }
+
+    private static void assertChangesArrive(Fleet fleet) {
         for (int step = 0; step < 400; step++) {
             fleet.step();
             fleet.checkLag();
         }
     }
 
-    @Property(tries = 300)
-    void noRouterReturnsToAnOlderVersion(@ForAll long seed) {
-        Fleet fleet = new Fleet(seed);
+    private static void assertVersionsIncrease(Fleet fleet) {
         for (int step = 0; step < 400; step++) {
             fleet.step();
         }
         for (Router router : fleet.routers) {
             List<Long> sorted = router.versions.stream().sorted().toList();
-            assertEquals(sorted, router.versions, "seed " + seed);
+            assertEquals(sorted, router.versions, "seed " + fleet.seed);
         }
     }
 
+    /** Revision that a stale read states. */
+    private enum Stamp {
+        OF_THE_ROWS,
+        NEWEST
+    }
+
     private static final class Fleet {
 
         private final long seed;
@@ -58,10 +81,10 @@
         private final FaultyStore store;
         private final List<Router> routers = new ArrayList<>();
 
-        private Fleet(long seed) {
+        private Fleet(long seed, Stamp stamp) {
             this.seed = seed;
             this.random = new Random(seed);
-            this.store = new FaultyStore(random, timers);
+            this.store = new FaultyStore(random, timers, stamp);
             for (int i = 0; i < ROUTERS; i++) {
                 routers.add(new Router(store, timers, new Random(random.nextLong())));
             }
@@ -120,7 +143,7 @@
             TableMirror own = watcher.mirror(TABLE);
             TableMirror other = sender.watcher.mirror(TABLE);
             if (lagMonitor.recordPeerRevision(
-                    other.changeRevision(), own.revision(), watcher.changeDelay(TABLE), nowNanos)) {
+                    other.changeRevision(), own.changeRevision(), watcher.changeDelay(TABLE), nowNanos)) {
                 watcher.adoptCopy(TABLE, other.rows(), other.revision(), other.changeRevision());
             }
         }
@@ -157,6 +180,7 @@
 
         private final Random random;
         private final DrivenTimerService timers;
+        private final Stamp stamp;
         private final List<Watch> watches = new ArrayList<>();
         private long revision = 1;
         private long version = 1;
@@ -169,9 +193,10 @@
         private boolean stale;
         private double rejectedShare;
 
-        private FaultyStore(Random random, DrivenTimerService timers) {
+        private FaultyStore(Random random, DrivenTimerService timers, Stamp stamp) {
             this.random = random;
             this.timers = timers;
+            this.stamp = stamp;
         }
 
         private void injectFaults() {
@@ -220,7 +245,8 @@
         @Override
         public void read(WatchedTable table, Consumer<StoreReply> callback) {
             if (table == TABLE) {
-                callback.accept(new StoreReply.Rows(List.of(stale ? staleRow : row), stale ? staleRevision : revision));
+                long stated = stale && stamp == Stamp.OF_THE_ROWS ? staleRevision : revision;
+                callback.accept(new StoreReply.Rows(List.of(stale ? staleRow : row), stated));
             }
         }
 
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -181,6 +181,23 @@
         assertEquals(List.of("replaced [a]", "replaced [a, c]"), events);
     }
 
+    /** A read that was older than its revision hid the newer row of a peer until the next change. */
+    @Test
+    void newerRowOfAPeerIsAdoptedAlthoughTheReadHadAHigherRevision() {
+        startAtRevision(7);
+        assertTrue(watcher.adoptCopy(TABLE, List.of(row("a", 6)), 6, 6));
+        assertEquals(List.of("replaced [a]", "replaced [a]"), events);
+        assertEquals(6, watcher.mirror(TABLE).changeRevision());
+    }
+
+    @Test
+    void copyWithoutANewerRowDoesNotReconnectTheWatch() {
+        startAtRevision(7);
+        assertFalse(watcher.adoptCopy(TABLE, List.of(row("a", 3), row("b", 5)), 6, 5));
+        assertEquals(List.of(), store.reconnectedWatches);
+        assertFalse(watcher.adoptCopy(TABLE, List.of(row("a", 3)), 7, 5));
+    }
+
     @Test
     void watchWithoutAChangeContinuesAtTheRevisionOfItsReply() {
         startAtRevision(7);
