Ask another peer for a copy before the first one has answered

Cause: it asked one peer at a time, and a peer that is frozen or cut off in one direction sends beacons but takes up to 400 ms to connect and 800 ms to read; two of them spend the bound of 2 s, and the same peer could be asked again at once.

Up to three peers are now asked, 100 ms apart and each once at a time. CopyRequestsTest covers the decision; a fleet of processes with silent peers was not played.

--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -15,6 +15,7 @@
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.WorkspaceId;
 import org.coltsfootquay.decision.latency.FirstEventObservation;
+import org.coltsfootquay.decision.peer.CopyRequests;
 import org.coltsfootquay.decision.peer.LagMonitor;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.selection.ServerLoad;
@@ -53,7 +54,7 @@
     private final Map<RouterId, LastBeacon> lastBeacons = new HashMap<>();
     private final Map<Long, RouterId> routersByIncarnation = new HashMap<>();
     private final Map<WatchedTable, LagMonitor> lagMonitors = new EnumMap<>(WatchedTable.class);
-    private final Map<WatchedTable, Boolean> fetchesInProgress = new EnumMap<>(WatchedTable.class);
+    private final Map<WatchedTable, CopyRequests> copyRequests = new EnumMap<>(WatchedTable.class);
     private long sequence;
 
     /** Whether the previous beacon was too large for all of its entries. */
@@ -360,9 +361,9 @@
                 .computeIfAbsent(table, name -> new LagMonitor())
                 .recordPeerRevision(
                         peerRevision, mirror.changeRevision(), watcher.changeDelay(table), timers.nowNanos());
-        if (copyNeeded && !fetchesInProgress.getOrDefault(table, false)) {
-            fetchesInProgress.put(table, true);
-            copyExchange.fetch(peer, table, () -> fetchesInProgress.put(table, false));
+        CopyRequests requests = copyRequests.computeIfAbsent(table, name -> new CopyRequests());
+        if (copyNeeded && requests.tryStart(peer.id(), timers.nowNanos())) {
+            copyExchange.fetch(peer, table, () -> requests.end(peer.id()));
         }
     }
 
