--- a/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/admission/FairSharePolicy.java
@@ -28,7 +28,7 @@
      * Wait, as a fraction of the allowed time, above which a workspace that got nothing is rejected. Up to it, a
      * response may be late, but a rejected caller would return no earlier.
      */
-    private static final double MAX_WAIT_SHARE_BELOW_FAIR_SHARE = 1.2;
+    private static final double MAX_WAIT_SHARE_BELOW_FAIR_SHARE = 1.0;
 
     /**
      * Wait, as a fraction of the allowed time, above which workspaces over their fair share are rejected; both the wait
