--- a/decision/src/test/java/org/coltsfootquay/decision/admission/EngineFleet.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/EngineFleet.java
@@ -1,5 +1,7 @@
 package org.coltsfootquay.decision.admission;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -56,6 +58,11 @@
     /** Memory of an engine; holds all shared parts of the tests. */
     private static final long MEMORY_TOKENS = 10_000_000;
 
+    private static final int LIGHT_WORKSPACES = 10;
+
+    /** Operator's bound: at least half of what a workspace requests, if others get more. */
+    static final double MIN_SERVED = 0.5;
+
     private final Shape shape;
     private final Random random;
     private final List<Router> routers = new ArrayList<>();
@@ -124,6 +131,31 @@
         }
     }
 
+    /**
+     * Runs fleets with ten light workspaces beside heavy ones, and checks that each light one is served.
+     *
+     * @param shape dimensions of the fleets
+     * @param heavy number of heavy workspaces
+     * @param heavyLoad load of each of them, as a multiple of what all engines serve
+     * @param lightLoad load of each light workspace
+     */
+    static void assertLightWorkspacesAreServed(Shape shape, int heavy, double heavyLoad, double lightLoad) {
+        for (long seed = 1; seed <= 3; seed++) {
+            EngineFleet fleet = new EngineFleet(shape, seed);
+            for (int i = 0; i < heavy; i++) {
+                fleet.add("heavy-" + i, heavyLoad);
+            }
+            for (int i = 0; i < LIGHT_WORKSPACES; i++) {
+                fleet.add("light-" + i, lightLoad);
+            }
+            fleet.run();
+            for (int i = 0; i < LIGHT_WORKSPACES; i++) {
+                double served = fleet.begunShare("light-" + i);
+                assertTrue(served >= MIN_SERVED, "seed " + seed + ": light-" + i + " was served " + served);
+            }
+        }
+    }
+
     /** Adds a workspace that requests a multiple of what all engines serve. */
     void add(String workspace, double load) {
         requestsPerStep.put(new WorkspaceId(workspace), load * shape.capacityPerStep());
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/LongPromptShareTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/LongPromptShareTest.java
@@ -16,17 +16,14 @@
 
     private static final EngineFleet.Shape WARM_CACHES = shape(40);
 
-    /** Operator's bound: at least half of what a workspace requests, if others get more. */
-    private static final double MIN_SERVED = 0.5;
-
     @Test
     void workspacesBelowTheirShareAreServedWhileCachesAreCold() {
-        assertLightWorkspacesAreServed(COLD_CACHES, 3, 2);
+        EngineFleet.assertLightWorkspacesAreServed(COLD_CACHES, 3, 2, 0.045);
     }
 
     @Test
     void workspacesBelowTheirShareAreServedWhileCachesAreWarm() {
-        assertLightWorkspacesAreServed(WARM_CACHES, 1, 5);
+        EngineFleet.assertLightWorkspacesAreServed(WARM_CACHES, 1, 5, 0.045);
     }
 
     @Test
@@ -41,21 +38,4 @@
     private static EngineFleet.Shape shape(int sharedParts) {
         return new EngineFleet.Shape(20, 8, 64, Duration.ofSeconds(3), 3_700, 13_300, sharedParts, 120, 100);
     }
-
-    private static void assertLightWorkspacesAreServed(EngineFleet.Shape shape, int heavy, double load) {
-        for (long seed = 1; seed <= 3; seed++) {
-            EngineFleet fleet = new EngineFleet(shape, seed);
-            for (int i = 0; i < heavy; i++) {
-                fleet.add("heavy-" + i, load);
-            }
-            for (int i = 0; i < 10; i++) {
-                fleet.add("light-" + i, 0.045);
-            }
-            fleet.run();
-            for (int i = 0; i < 10; i++) {
-                double served = fleet.begunShare("light-" + i);
-                assertTrue(served >= MIN_SERVED, "seed " + seed + ": light-" + i + " was served " + served);
-            }
-        }
-    }
 }
--- a/decision/src/test/java/org/coltsfootquay/decision/admission/SlotShareTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/admission/SlotShareTest.java
@@ -14,17 +14,14 @@
     private static final EngineFleet.Shape SMALL = shape(8, 64, 20);
     private static final EngineFleet.Shape LARGE_WITH_SMALL_BATCHES = shape(58, 24, 100);
 
-    /** Operator's bound: at least half of what a workspace requests, if others get more. */
-    private static final double MIN_SERVED = 0.5;
-
     @Test
     void workspacesBelowTheirShareAreServedInAnOverloadByOne() {
-        assertLightWorkspacesAreServed(1, 4);
+        EngineFleet.assertLightWorkspacesAreServed(SMALL, 1, 4, 0.02);
     }
 
     @Test
     void workspacesBelowTheirShareAreServedInAnOverloadByMany() {
-        assertLightWorkspacesAreServed(6, 0.7);
+        EngineFleet.assertLightWorkspacesAreServed(SMALL, 6, 0.7, 0.02);
     }
 
     /** Of two workspaces above their share, the one that requests three times as much got three times as much. */
@@ -36,7 +33,7 @@
             fleet.add("heavy", 1);
             fleet.run();
             double ratio = fleet.begun("heavy") / (double) fleet.begun("heavier");
-            assertTrue(ratio >= MIN_SERVED, "seed " + seed + ": ratio of tokens " + ratio);
+            assertTrue(ratio >= EngineFleet.MIN_SERVED, "seed " + seed + ": ratio of tokens " + ratio);
         }
     }
 
@@ -75,21 +72,4 @@
     private static EngineFleet.Shape shape(int routers, int slots, int demandReportSteps) {
         return new EngineFleet.Shape(routers, 6, slots, Duration.ofSeconds(6), 300, 0, 0, 250, demandReportSteps);
     }
-
-    private static void assertLightWorkspacesAreServed(int heavy, double load) {
-        for (long seed = 1; seed <= 3; seed++) {
-            EngineFleet fleet = new EngineFleet(SMALL, seed);
-            for (int i = 0; i < heavy; i++) {
-                fleet.add("heavy-" + i, load);
-            }
-            for (int i = 0; i < 10; i++) {
-                fleet.add("light-" + i, 0.02);
-            }
-            fleet.run();
-            for (int i = 0; i < 10; i++) {
-                double served = fleet.begunShare("light-" + i);
-                assertTrue(served >= MIN_SERVED, "seed " + seed + ": light-" + i + " was served " + served);
-            }
-        }
-    }
 }
