--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -32,22 +32,12 @@
     }
 
     void notAdmitted(SelectedServer selectedServer, AdmissionDecision decision, ServerLoad load) {
-        LOG.info(
+        logDecision(
                 "request_not_admitted",
-                "request",
-                requestId,
-                "server",
-                selectedServer.entry().server(),
-                "reason",
-                decision.reason(),
+                selectedServer,
+                decision,
                 "queueMs",
                 selectedServer.queueTime().toMillis(),
-                "meanWaitMs",
-                selectedServer.meanWaitTime().toMillis(),
-                "slotWaitMs",
-                selectedServer.slotWaitTime().toMillis(),
-                "meanSlotWaitMs",
-                selectedServer.meanSlotWaitTime().toMillis(),
                 "expectedMs",
                 selectedServer.expectedLatency().toMillis(),
                 "targetMs",
@@ -55,24 +45,24 @@
                 "load",
                 load.requests(),
                 "slots",
-                selectedServer.entry().slots(),
-                "workspace",
-                workspace,
-                "dispatched",
-                (long) decision.dispatchedTokens(),
-                "share",
-                (long) decision.fairShare());
+                selectedServer.entry().slots());
     }
 
     /** Logs why a request that waits is admitted. */
     void admitted(SelectedServer selectedServer, AdmissionDecision decision) {
-        if (decision.reason() == Reason.NO_WAIT && selectedServer.slotWaitTime().isZero()) {
-            return;
+        if (decision.reason() != Reason.NO_WAIT
+                || !selectedServer.slotWaitTime().isZero()) {
+            logDecision("request_admitted", selectedServer, decision);
         }
-        LOG.info(
-                "request_admitted",
+    }
+
+    private void logDecision(
+            String event, SelectedServer selectedServer, AdmissionDecision decision, Object... fields) {
+        List<Object> all = new ArrayList<>(List.of(
                 "request",
                 requestId,
+                "server",
+                selectedServer.entry().server(),
                 "reason",
                 decision.reason(),
                 "waitMs",
@@ -88,7 +78,9 @@
                 "dispatched",
                 (long) decision.dispatchedTokens(),
                 "share",
-                (long) decision.fairShare());
+                (long) decision.fairShare()));
+        all.addAll(List.of(fields));
+        LOG.info(event, all.toArray());
     }
 
     void quarantined(Rejection rejection) {
