Log and measure how old the state is by which requests are routed

Callers saw requests run by an old configuration. Each reply of the store states the time of its clock; StoreClock estimates that clock from above, and the watcher keeps the time for each table. The times come from the bounds of the platform. Routing is unchanged.

--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -328,6 +328,16 @@
                     Optional.of(RetryAfter.ROUTER_OVERLOADED));
             return;
         }
+        context.freshness()
+                .overdueAge()
+                .ifPresent(age -> LOG.info(
+                        "request_routed_by_old_configuration",
+                        "request",
+                        metadata.requestId(),
+                        "configuration",
+                        configuration.get().version(),
+                        "ageMs",
+                        age.toMillis()));
         Access access = authorize(configuration.get(), request.uri(), metadata);
         if (access instanceof Access.Denied denied) {
             boolean unknownRoute = denied.reason() == Access.Reason.UNKNOWN_ROUTE;
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -87,6 +87,7 @@
     private final CrashDetector crashDetector;
     private Runnable promptSentListener = () -> {};
     private Runnable quarantineNewsListener = () -> {};
+    private StateFreshness freshness = StateFreshness.UNKNOWN;
     private RoutingConfiguration configuration;
     private boolean registrationsLoaded;
     private Optional<StopWindow> stopWindow = Optional.empty();
@@ -147,6 +148,19 @@
                 registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
     }
 
+    /**
+     * Sets the source of the freshness of the state by which requests are routed.
+     *
+     * @param freshness freshness
+     */
+    public void setFreshness(StateFreshness freshness) {
+        this.freshness = ArgumentUtils.requireValue(freshness, "freshness");
+    }
+
+    StateFreshness freshness() {
+        return freshness;
+    }
+
     /** Returns the budget of the bytes that the router holds for the bodies of requests. */
     ByteBudget requestBudget() {
         return requestBudget;
--- a/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/NodeSettings.java
@@ -1,9 +1,13 @@
 package org.coltsfootquay.router.node;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.freshness.ChangeTimes;
 import org.coltsfootquay.router.forward.FleetLimits;
 import org.coltsfootquay.router.forward.MemoryLimits;
 import org.coltsfootquay.router.forward.ResponseLimits;
@@ -29,6 +33,7 @@
  * @param responseLimits limits of the responses of servers
  * @param memoryLimits limits of the memory for messages
  * @param maxServerPause longest pause that a server may ask for
+ * @param changeTimes times within which changes must be in force
  */
 public record NodeSettings(
         RouterId id,
@@ -47,7 +52,8 @@
         FleetLimits fleetLimits,
         ResponseLimits responseLimits,
         MemoryLimits memoryLimits,
-        Duration maxServerPause) {
+        Duration maxServerPause,
+        ChangeTimes changeTimes) {
 
     private static final int MAX_PORT = 65535;
 
@@ -76,6 +82,9 @@
 
     private static final Duration LONGEST_MAX_SERVER_PAUSE = Duration.ofHours(1);
 
+    /** Minimum of the times within which changes must be in force. */
+    private static final Duration MIN_CHANGE_TIME = Duration.ofMillis(500);
+
     private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
 
     /** Factor on the rate that a cold server accepts; 1 makes the stated rate itself the limit. */
@@ -93,6 +102,8 @@
      * @return settings
      */
     public static NodeSettings read(SettingsObject root) {
+        Bounds bounds = root.object("bounds", NodeSettings::readBounds)
+                .orElseGet(() -> new Bounds(defaultFleetLimits(), ChangeTimes.DEFAULT));
         return new NodeSettings(
                 new RouterId(root.name("id")),
                 new ZoneName(root.name("zone")),
@@ -107,10 +118,33 @@
                 root.flag("firstStart", false),
                 root.duration("stopTime").orElse(DEFAULT_STOP_TIME),
                 root.duration("addressTime").orElse(DEFAULT_ADDRESS_TIME),
-                root.object("bounds", NodeSettings::readFleetLimits).orElseGet(NodeSettings::defaultFleetLimits),
+                bounds.fleetLimits,
                 root.object("responses", NodeSettings::readResponseLimits).orElse(ResponseLimits.DEFAULT),
                 root.object("memory", NodeSettings::readMemoryLimits).orElseGet(NodeSettings::defaultMemoryLimits),
-                readMaxServerPause(root));
+                readMaxServerPause(root),
+                bounds.changeTimes);
+    }
+
+    private static Bounds readBounds(SettingsObject bounds) {
+        return new Bounds(readFleetLimits(bounds), readChangeTimes(bounds));
+    }
+
+    /** Reads the times within which changes must be in force; the shortest one applies to the operator's table. */
+    private static ChangeTimes readChangeTimes(SettingsObject bounds) {
+        Duration operator = Stream.of("configurationTime", "evacuationTime", "revocationTime")
+                .flatMap(name -> readChangeTime(bounds, name).stream())
+                .min(Comparator.naturalOrder())
+                .orElse(ChangeTimes.DEFAULT.operator());
+        return new ChangeTimes(operator, readChangeTime(bounds, "leavingTime").orElse(ChangeTimes.DEFAULT.servers()));
+    }
+
+    private static Optional<Duration> readChangeTime(SettingsObject bounds, String name) {
+        Optional<Duration> time = bounds.duration(name);
+        if (time.isPresent() && time.get().compareTo(MIN_CHANGE_TIME) < 0) {
+            bounds.problem(name, time.get().toString(), "use at least \"500ms\"; a change takes some round trips");
+            return Optional.empty();
+        }
+        return time;
     }
 
     private static Duration readMaxServerPause(SettingsObject root) {
@@ -157,4 +191,7 @@
         return new FleetLimits(
                 DEFAULT_RETRY_RATIO, DEFAULT_RETRY_ALLOWANCE, DEFAULT_RETRY_WINDOW, DEFAULT_COLD_OVERSHOOT, 0);
     }
+
+    /** Values of the object {@code bounds}. */
+    private record Bounds(FleetLimits fleetLimits, ChangeTimes changeTimes) {}
 }
--- a/router/src/main/java/org/coltsfootquay/router/state/StoreReply.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/StoreReply.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.state;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /** Result of a call to the store. */
 public sealed interface StoreReply {
@@ -10,18 +11,30 @@
      *
      * @param rows all rows for a read, changed rows for a watch, empty for a write
      * @param revision newest revision that the rows include
+     * @param storeMillis time of the store's clock at which the rows were current, milliseconds; empty if not stated
      */
-    record Rows(List<TableRow> rows, long revision) implements StoreReply {
+    record Rows(List<TableRow> rows, long revision, OptionalLong storeMillis) implements StoreReply {
 
         /**
          * Creates a reply with a copy of the list.
          *
          * @param rows rows
          * @param revision newest revision
+         * @param storeMillis time of the store's clock
          */
         public Rows {
             rows = List.copyOf(rows);
         }
+
+        /**
+         * Creates a reply that does not state the time of the store's clock.
+         *
+         * @param rows rows
+         * @param revision newest revision
+         */
+        public Rows(List<TableRow> rows, long revision) {
+            this(rows, revision, OptionalLong.empty());
+        }
     }
 
     /** The store no longer has the changes after the requested revision; the table must be read again. */
--- a/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.coltsfootquay.decision.common.HashUtils;
@@ -31,6 +32,7 @@
     private long changeRevision;
     private long watchRevision;
     private long digest;
+    private OptionalLong confirmedMillis = OptionalLong.empty();
 
     /** Creates an empty copy at revision 0. */
     public TableMirror() {
@@ -55,6 +57,24 @@
         return watchRevision;
     }
 
+    /**
+     * Returns the time at which the copy was last known to include all changes.
+     *
+     * @return milliseconds of the store's clock, empty while unknown
+     */
+    public OptionalLong confirmedMillis() {
+        return confirmedMillis;
+    }
+
+    /**
+     * Records that the copy includes all changes up to a time.
+     *
+     * @param storeMillis milliseconds of the store's clock
+     */
+    public void confirm(long storeMillis) {
+        confirmedMillis = OptionalLong.of(storeMillis);
+    }
+
     /**
      * Returns the rows.
      *
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -4,8 +4,11 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.coltsfootquay.decision.freshness.StoreClock;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
 
@@ -81,6 +84,7 @@
     private final TableListener listener;
     private final IntSupplier routerCount;
     private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
+    private final StoreClock clock = new StoreClock();
     private int consecutiveFailures;
     private boolean lost;
     private long lostSinceNanos;
@@ -157,6 +161,17 @@
         return watches.get(table).mirror;
     }
 
+    /**
+     * Returns the time since the copy of a table was last known to include all changes.
+     *
+     * @param table table
+     * @return age, never less than the real one; empty while unknown
+     */
+    public Optional<Duration> age(WatchedTable table) {
+        OptionalLong confirmed = mirror(table).confirmedMillis();
+        return confirmed.isEmpty() ? Optional.empty() : clock.since(confirmed.getAsLong(), timers.nowNanos());
+    }
+
     /**
      * Merges a copy of a table from another router.
      *
@@ -225,6 +240,7 @@
         private boolean loaded;
         private boolean reconnecting;
         private long lastReadNanos;
+        private long sentNanos;
 
         private Watch(WatchedTable table) {
             this.table = table;
@@ -234,6 +250,7 @@
             if (!stopped) {
                 reconnecting = false;
                 lastReadNanos = timers.nowNanos();
+                sentNanos = lastReadNanos;
                 store.read(table, this::readDone);
             }
         }
@@ -241,6 +258,7 @@
         private void watch() {
             if (!stopped) {
                 reconnecting = false;
+                sentNanos = timers.nowNanos();
                 store.watch(table, mirror.watchRevision(), watchDuration(), this::watchDone);
             }
         }
@@ -279,11 +297,13 @@
                         "rows",
                         rows.rows().size());
                 long digest = mirror.state().digest();
+                recordStoreTime(rows);
                 if (!mirror.replace(rows.rows(), rows.revision())) {
                     LOG.info("stale_read_ignored", "table", table, "revision", rows.revision());
                     var unused = timers.scheduleOnce("table watch", INITIAL_RETRY_DELAY, this::watch);
                     return;
                 }
+                confirm(rows);
                 if (!loaded || mirror.state().digest() != digest) {
                     loaded = true;
                     notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
@@ -296,10 +316,20 @@
             }
         }
 
+        private void recordStoreTime(StoreReply.Rows rows) {
+            rows.storeMillis().ifPresent(millis -> clock.recordReply(sentNanos, timers.nowNanos(), millis));
+        }
+
+        private void confirm(StoreReply.Rows rows) {
+            rows.storeMillis().ifPresent(mirror::confirm);
+        }
+
         private void watchDone(StoreReply reply) {
             if (reply instanceof StoreReply.Rows rows) {
                 callSucceeded();
+                recordStoreTime(rows);
                 List<TableRow> newChanges = mirror.apply(rows.rows(), rows.revision());
+                confirm(rows);
                 if (!newChanges.isEmpty()) {
                     notifyListener(table, () -> listener.rowsChanged(table, newChanges, mirror.rows()));
                 }
--- a/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/NodeSettingsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import org.coltsfootquay.decision.freshness.ChangeTimes;
 import org.coltsfootquay.settings.SettingsException;
 import org.coltsfootquay.settings.SettingsReader;
 import org.junit.jupiter.api.Test;
@@ -37,6 +38,27 @@
         assertTrue(error.getMessage().contains("maxServerPause"), error.getMessage());
     }
 
+    @Test
+    void changesAreInForceWithinTwoSecondsByDefault() throws SettingsException {
+        assertEquals(new ChangeTimes(Duration.ofSeconds(2), Duration.ofSeconds(2)), read("").changeTimes());
+    }
+
+    @Test
+    void shortestTimeAppliesToTheTableOfTheOperator() throws SettingsException {
+        assertEquals(
+                new ChangeTimes(Duration.ofSeconds(3), Duration.ofSeconds(4)),
+                read(", \"bounds\": {\"configurationTime\": \"5s\", \"evacuationTime\": \"3s\", "
+                                + "\"leavingTime\": \"4s\"}")
+                        .changeTimes());
+    }
+
+    @Test
+    void timeForChangesBelowSomeRoundTripsIsRejected() {
+        SettingsException error =
+                assertThrows(SettingsException.class, () -> read(", \"bounds\": {\"configurationTime\": \"10ms\"}"));
+        assertTrue(error.getMessage().contains("bounds.configurationTime"), error.getMessage());
+    }
+
     @Test
     void memoryForResponsesIsAnEighthOfTheHeapByDefault() throws SettingsException {
         assertEquals(
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 import org.junit.jupiter.api.Test;
@@ -63,6 +65,22 @@
         assertEquals(Duration.ofMillis(1200), watcher.changeDelay(TABLE));
     }
 
+    @Test
+    void ageCountsFromTheTimeThatTheLastReplyStates() {
+        watcher.start();
+        assertEquals(Optional.empty(), watcher.age(TABLE));
+        store.nextCall(TABLE).callback().accept(new StoreReply.Rows(List.of(), 7, OptionalLong.of(40_000)));
+        timers.advance(Duration.ofSeconds(5).toNanos());
+        store.nextCall(TABLE).callback().accept(new StoreReply.Rows(List.of(), 7, OptionalLong.of(44_000)));
+        assertEquals(Optional.of(Duration.ofMillis(1_001)), watcher.age(TABLE));
+    }
+
+    @Test
+    void ageIsUnknownIfTheStoreStatesNoTime() {
+        startAtRevision(7);
+        assertEquals(Optional.empty(), watcher.age(TABLE));
+    }
+
     @Test
     void watchWithoutAChangeIsRepeatedImmediately() {
         startAtRevision(7);
