Route no request by a table that may be older than the time for its changes

Cause: a router did not know how old its copy of a table was, and used it whatever its age. Each step of the way of a change has a limit, but nothing added them up while they ran. Class of fault: a time bound that is a sum of expectations and that no part checks.

Change: replies of the store confirm a copy up to the time that they state, and beacons and copies pass the confirmation on to routers with equal rows. A table that nothing confirms for 0.6 of its time is checked by one router of the fleet; a request that arrives when the copy is older than 0.8 of it waits for a check of its own router, 0.5 s at most. If the store does not answer, requests are routed as before. This covers the configuration, keys and evacuations, and the table of servers.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/PeerTable.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.common.HashUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
 
@@ -176,6 +177,23 @@
         return members;
     }
 
+    /**
+     * Returns the position of this router in an order of all routers that sent a beacon recently.
+     *
+     * @param salt value that the order depends on; the same at all routers that share a task
+     * @return position, from 0; routers that hear each other have different ones
+     */
+    public int positionAmongHeard(long salt) {
+        long own = orderOf(self.id(), salt);
+        return (int) heardPeers.keySet().stream()
+                .filter(peer -> orderOf(peer, salt) < own)
+                .count();
+    }
+
+    private static long orderOf(RouterId router, long salt) {
+        return HashUtils.mix(HashUtils.hash(router.value()) + salt);
+    }
+
     /**
      * Removes and returns the peers whose last beacon is older than the silence timeout; their registrations stay.
      *
--- a/decision/src/test/java/org/coltsfootquay/decision/peer/PeerTableTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/peer/PeerTableTest.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ZoneName;
 import org.junit.jupiter.api.Test;
@@ -37,6 +39,34 @@
         assertEquals(List.of("r1:80"), table.addressesFor(null, true, 0, 64));
     }
 
+    @Test
+    void positionsOfRoutersThatHearEachOtherDiffer() {
+        List<PeerRouter> routers = IntStream.range(0, 20)
+                .mapToObj(i -> router("r" + i, LOCAL_ZONE))
+                .toList();
+        List<Integer> positions = new ArrayList<>();
+        for (PeerRouter router : routers) {
+            PeerTable view = new PeerTable(router);
+            routers.forEach(peer -> view.recordBeacon(peer, true, 0));
+            positions.add(view.positionAmongHeard(7));
+        }
+        assertEquals(
+                IntStream.range(0, 20).boxed().toList(),
+                positions.stream().sorted().toList());
+    }
+
+    @Test
+    void positionDependsOnTheSalt() {
+        for (int i = 2; i < 20; i++) {
+            table.recordBeacon(router("r" + i, LOCAL_ZONE), true, 0);
+        }
+        assertTrue(LongStream.range(0, 10)
+                        .mapToInt(table::positionAmongHeard)
+                        .distinct()
+                        .count()
+                > 3);
+    }
+
     @Test
     void stoppingPeerIsNotListed() {
         table.recordBeacon(router("r2", LOCAL_ZONE), false, 0);
--- a/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/CallerConnection.java
@@ -287,12 +287,13 @@
                 route(request, requestHead, arrivalNanos);
             }
         };
+        Runnable startWhenFresh = () -> context.freshness().runWhenFresh(start);
         if (context.isReady()) {
             // Runs after this read of the socket, which may also find that the caller has disconnected.
-            channelContext.executor().execute(() -> context.eventLoopLag().runAfterPendingReads(start));
+            channelContext.executor().execute(() -> context.eventLoopLag().runAfterPendingReads(startWhenFresh));
         } else {
             // A router that has just started reads slowly, so callers may have disconnected during the wait.
-            context.runWhenReady(MAX_STARTUP_WAIT, () -> context.eventLoopLag().runAfterPendingReads(start));
+            context.runWhenReady(MAX_STARTUP_WAIT, () -> context.eventLoopLag().runAfterPendingReads(startWhenFresh));
         }
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/forward/StateFreshness.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/StateFreshness.java
@@ -7,7 +7,17 @@
 public interface StateFreshness {
 
     /** Freshness of a router that cannot tell how old its state is. */
-    StateFreshness UNKNOWN = Optional::empty;
+    StateFreshness UNKNOWN = new StateFreshness() {
+        @Override
+        public Optional<Duration> overdueAge() {
+            return Optional.empty();
+        }
+
+        @Override
+        public void runWhenFresh(Runnable task) {
+            task.run();
+        }
+    };
 
     /**
      * Returns the time since the configuration was last known to be current, if changes acknowledged in that time may
@@ -16,4 +26,12 @@
      * @return age, empty while no change can be overdue or the age is unknown
      */
     Optional<Duration> overdueAge();
+
+    /**
+     * Runs a task as soon as the state includes every change that must be in force.
+     *
+     * @param task task; runs immediately unless the state may be too old, and in any case after a limited time, since
+     *     the store may be out of reach
+     */
+    void runWhenFresh(Runnable task);
 }
--- a/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopyExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopyExchange.java
@@ -24,6 +24,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -159,7 +160,8 @@
         TableCopy.Builder copy = TableCopy.newBuilder()
                 .setTable(table.get().number())
                 .setRevision(snapshot.revision())
-                .setReadRevision(snapshot.readRevision());
+                .setReadRevision(snapshot.readRevision())
+                .setConfirmedMillis(snapshot.confirmedMillis().orElse(0));
         for (TableRow row : snapshot.rows()) {
             copy.addRows(TableCopyRow.newBuilder()
                     .setKey(row.key())
@@ -176,7 +178,12 @@
         for (TableCopyRow row : copy.getRowsList()) {
             rows.add(new TableRow(row.getKey(), row.getValue().toByteArray(), row.getRevision(), row.getDeleted()));
         }
-        return new TableSnapshot(rows, copy.getReadRevision(), copy.getRevision());
+        long confirmed = copy.getConfirmedMillis();
+        return new TableSnapshot(
+                rows,
+                copy.getReadRevision(),
+                copy.getRevision(),
+                confirmed > 0 ? OptionalLong.of(confirmed) : OptionalLong.empty());
     }
 
     private ChannelInitializer<SocketChannel> initializer(MessageHandler messageHandler, Runnable onClose) {
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -29,6 +29,7 @@
 import org.coltsfootquay.router.neighbor.CopyCoordinator;
 import org.coltsfootquay.router.neighbor.CopyTransport;
 import org.coltsfootquay.router.neighbor.RemovalConfirmation;
+import org.coltsfootquay.router.state.TableMirror;
 import org.coltsfootquay.router.state.TableWatcher;
 import org.coltsfootquay.router.state.WatchedTable;
 
@@ -102,10 +103,7 @@
                 .setReady(ready.getAsBoolean())
                 .setJoining(cacheBootstrap.isJoining())
                 .setStoreContact(forwarding.registry().contactUnbroken(timers.nowNanos()));
-        for (WatchedTable table : WatchedTable.values()) {
-            TableState state = watcher.mirror(table).state();
-            header.addTableRevisions(state.revision()).addTableDigests(state.digest());
-        }
+        addTableStates(header);
         Beacon.Builder beacon = Beacon.newBuilder();
         // A full beacon contains all loads, so the next update only needs the changes after it.
         Map<ServerName, ServerLoad> loads = forwarding.loads().takeChanged();
@@ -180,6 +178,24 @@
         }
     }
 
+    /** Sends the states of the tables, after the store has confirmed one of them. */
+    void sendTableStates(BeaconSender channel) {
+        Beacon.Builder update =
+                Beacon.newBuilder().setUpdate(true).setIncarnation(incarnation).setSequence(sequence++);
+        addTableStates(update);
+        sendToPeers(channel, update.build().toByteArray());
+    }
+
+    private void addTableStates(Beacon.Builder beacon) {
+        for (WatchedTable table : WatchedTable.values()) {
+            TableMirror mirror = watcher.mirror(table);
+            TableState state = mirror.state();
+            beacon.addTableRevisions(state.revision())
+                    .addTableDigests(state.digest())
+                    .addTableConfirmedMillis(mirror.confirmedMillis().orElse(0));
+        }
+    }
+
     private boolean sendToPeers(BeaconSender channel, byte[] bytes) {
         List<PeerRouter> targets = forwarding.peers().beaconTargets();
         addresses.keySet().retainAll(Set.copyOf(targets));
@@ -271,19 +287,26 @@
                     .inc(last.received.missing());
         }
         LastBeacon started =
-                new LastBeacon(beacon.getIncarnation(), beacon.getSequence(), new ReceivedBeacon(messages));
+                new LastBeacon(peer, beacon.getIncarnation(), beacon.getSequence(), new ReceivedBeacon(messages));
         lastBeacons.put(peer.id(), started);
         routersByIncarnation.put(beacon.getIncarnation(), peer.id());
         cacheBootstrap.beaconReceived(peer, beacon.getJoining());
         removalConfirmation.contactReported(peer.id(), beacon.getStoreContact());
+        receiveTableStates(peer, beacon);
+        return started;
+    }
+
+    private void receiveTableStates(PeerRouter peer, Beacon beacon) {
         for (WatchedTable table : WatchedTable.values()) {
             int number = table.number();
             if (number < beacon.getTableRevisionsCount() && number < beacon.getTableDigestsCount()) {
                 TableState state = new TableState(beacon.getTableRevisions(number), beacon.getTableDigests(number));
+                if (number < beacon.getTableConfirmedMillisCount()) {
+                    watcher.peerConfirmed(table, state, beacon.getTableConfirmedMillis(number));
+                }
                 copies.stateReported(peer, table, state);
             }
         }
-        return started;
     }
 
     /** Processes an update; ignores one of an unknown incarnation, since a full beacon follows within a second. */
@@ -293,7 +316,9 @@
             return;
         }
         LastBeacon last = lastBeacons.get(peer);
-        lastBeacons.put(peer, new LastBeacon(beacon.getIncarnation(), beacon.getSequence(), last.received));
+        lastBeacons.put(
+                peer, new LastBeacon(last.router, beacon.getIncarnation(), beacon.getSequence(), last.received));
+        receiveTableStates(last.router, beacon);
         forwarding.loads().updatePeerLoads(peer, loads(beacon));
         recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
@@ -358,5 +383,5 @@
     }
 
     /** Last beacon or update of a router, with the messages of its last beacon. */
-    private record LastBeacon(long incarnation, long sequence, ReceivedBeacon received) {}
+    private record LastBeacon(PeerRouter router, long incarnation, long sequence, ReceivedBeacon received) {}
 }
--- a/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/ForwardingNode.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -26,10 +25,10 @@
 import org.coltsfootquay.router.metrics.RouterMetrics;
 import org.coltsfootquay.router.neighbor.BeaconChannel;
 import org.coltsfootquay.router.neighbor.TableCopyExchange;
+import org.coltsfootquay.router.state.FreshnessMonitor;
 import org.coltsfootquay.router.state.StoreReply;
 import org.coltsfootquay.router.state.TableStore;
 import org.coltsfootquay.router.state.TableWatcher;
-import org.coltsfootquay.router.state.WatchedTable;
 import org.coltsfootquay.router.status.StatusPage;
 import org.coltsfootquay.router.status.StatusResponse;
 import org.coltsfootquay.router.status.StatusServer;
@@ -66,6 +65,7 @@
     private final CallerConnections callers;
     private final TableStore store;
     private final TableWatcher watcher;
+    private final FreshnessMonitor freshness;
     private final TableCopyExchange copyExchange;
     private final CacheViewBootstrap cacheBootstrap;
     private final BeaconExchange beaconExchange;
@@ -115,13 +115,9 @@
                 new Random(incarnation),
                 new StateApplier(forwarding, platform.decoder(), timers, settings.id(), this::registrationMissing),
                 () -> peers.members().size());
-        Duration changeTime = settings.changeTimes().operator();
-        forwarding.setFreshness(() -> watcher.age(WatchedTable.OPERATOR).filter(age -> age.compareTo(changeTime) > 0));
-        for (WatchedTable table : List.of(WatchedTable.OPERATOR, WatchedTable.SERVERS)) {
-            metrics.gauge(
-                    "coltsfootquay_table_age_seconds{table=\"" + table.name().toLowerCase(Locale.ROOT) + "\"}",
-                    () -> watcher.age(table).map(age -> age.toMillis() / 1e3).orElse(Double.NaN));
-        }
+        this.freshness =
+                new FreshnessMonitor(watcher, timers, settings.changeTimes(), peers::positionAmongHeard, metrics);
+        forwarding.setFreshness(freshness);
         this.copyExchange = new TableCopyExchange(eventLoop, watcher, () -> CacheViewBootstrap.snapshot(forwarding));
         this.cacheBootstrap = new CacheViewBootstrap(self.zone(), forwarding, copyExchange, timers);
         this.beaconExchange = new BeaconExchange(
@@ -158,6 +154,8 @@
                 cacheBootstrap.start();
             }
             watcher.start();
+            freshness.setCheckedListener(() -> beaconExchange.sendTableStates(beaconChannel::send));
+            freshness.start();
             register();
             sendBeacon();
             sendUpdate();
--- /dev/null
+++ b/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
@@ -0,0 +1,238 @@
+package org.coltsfootquay.router.state;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootquay.decision.common.ArgumentUtils;
+import org.coltsfootquay.decision.freshness.ChangeTimes;
+import org.coltsfootquay.decision.timer.TimerService;
+import org.coltsfootquay.router.forward.StateFreshness;
+import org.coltsfootquay.router.log.EventLog;
+import org.coltsfootquay.router.metrics.RouterMetrics;
+
+/**
+ * Keeps the age of the watched tables below the times within which changes must be in force; used on one event loop.
+ *
+ * <p>A copy that was current at most that time ago includes every change that must be in force, however slowly changes
+ * travel. The replies to the watches of all routers confirm a table often; if none does for a while, one router asks
+ * the store and tells the others. A router whose copy is too old all the same asks the store itself, and requests wait
+ * for the reply.
+ */
+public final class FreshnessMonitor implements StateFreshness {
+
+    private static final EventLog LOG = EventLog.of(FreshnessMonitor.class);
+
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+
+    /** Age at which a table is checked in the background, as a fraction of the time for its changes. */
+    private static final double CHECK_FRACTION = 0.6;
+
+    /** Age at which requests wait for a check, as a fraction of the time for changes; the rest is the time to route. */
+    private static final double WAIT_FRACTION = 0.8;
+
+    /** Time after which the next router checks a table; the result of a check arrives earlier. */
+    private static final Duration CHECK_STEP = Duration.ofMillis(150);
+
+    /** Time that a check may delay requests; a store in order replies within milliseconds. */
+    private static final Duration MAX_WAIT = Duration.ofMillis(500);
+
+    private static final Duration INITIAL_RETRY_DELAY = Duration.ofSeconds(1);
+
+    /** Maximum delay of the next check after one has failed; calls to a store that is down have a cost too. */
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(8);
+
+    private final TableWatcher watcher;
+    private final TimerService timers;
+    private final CheckOrder order;
+    private final RouterMetrics metrics;
+    private final Map<WatchedTable, TableCheck> checks = new EnumMap<>(WatchedTable.class);
+    private final Duration operatorTime;
+    private final Set<Runnable> waiting = new LinkedHashSet<>();
+    private Runnable checkedListener = () -> {};
+
+    /**
+     * Creates a monitor; {@link #start()} starts the checks in the background.
+     *
+     * @param watcher holds the tables
+     * @param timers timers of the event loop
+     * @param changeTimes times within which changes must be in force
+     * @param order order in which routers check a table
+     * @param metrics metrics
+     */
+    public FreshnessMonitor(
+            TableWatcher watcher,
+            TimerService timers,
+            ChangeTimes changeTimes,
+            CheckOrder order,
+            RouterMetrics metrics) {
+        this.watcher = watcher;
+        this.timers = timers;
+        this.order = order;
+        this.metrics = metrics;
+        this.operatorTime = changeTimes.operator();
+        checks.put(WatchedTable.OPERATOR, new TableCheck(WatchedTable.OPERATOR, changeTimes.operator()));
+        checks.put(WatchedTable.SERVERS, new TableCheck(WatchedTable.SERVERS, changeTimes.servers()));
+        for (WatchedTable table : checks.keySet()) {
+            String label = "{table=\"" + table.name().toLowerCase(Locale.ROOT) + "\"}";
+            metrics.gauge(
+                    "coltsfootquay_table_age_seconds" + label,
+                    () -> watcher.age(table).map(age -> age.toMillis() / 1e3).orElse(Double.NaN));
+        }
+        watcher.setConfirmationListener(this::confirmed);
+    }
+
+    /**
+     * Sets a listener that is called whenever a check of this router has succeeded.
+     *
+     * @param listener listener
+     */
+    public void setCheckedListener(Runnable listener) {
+        checkedListener = ArgumentUtils.requireValue(listener, "listener");
+    }
+
+    /** Starts the checks in the background. */
+    public void start() {
+        timers.schedulePeriodic(
+                "table freshness", TICK_INTERVAL, () -> checks.values().forEach(TableCheck::checkIfDue));
+    }
+
+    @Override
+    public Optional<Duration> overdueAge() {
+        return watcher.age(WatchedTable.OPERATOR).filter(age -> age.compareTo(operatorTime) > 0);
+    }
+
+    @Override
+    public void runWhenFresh(Runnable task) {
+        List<TableCheck> tooOld =
+                checks.values().stream().filter(TableCheck::isTooOld).toList();
+        if (tooOld.isEmpty()) {
+            task.run();
+            return;
+        }
+        tooOld.forEach(TableCheck::check);
+        Optional<Duration> wait =
+                tooOld.stream().flatMap(check -> check.remainingWait().stream()).max(Duration::compareTo);
+        // A check may end at once, and a check that has taken long delays no further requests.
+        if (wait.isEmpty()) {
+            task.run();
+            return;
+        }
+        metrics.count("coltsfootquay_requests_waiting_for_checks_total");
+        waiting.add(task);
+        var unused = timers.scheduleOnce("check wait", wait.get(), () -> {
+            if (waiting.remove(task)) {
+                task.run();
+            }
+        });
+    }
+
+    private void confirmed() {
+        if (!waiting.isEmpty() && checks.values().stream().noneMatch(TableCheck::isTooOld)) {
+            runWaiting();
+        }
+    }
+
+    private void runWaiting() {
+        List<Runnable> tasks = List.copyOf(waiting);
+        waiting.clear();
+        tasks.forEach(Runnable::run);
+    }
+
+    private static Duration fraction(Duration duration, double fraction) {
+        return Duration.ofNanos((long) (duration.toNanos() * fraction));
+    }
+
+    /** Order in which routers check a table that no reply has confirmed for a while. */
+    @FunctionalInterface
+    public interface CheckOrder {
+
+        /**
+         * Returns the position of this router.
+         *
+         * @param confirmedMillis time at which the table was last confirmed; routers with the same time use the same
+         *     order, and the first router differs from time to time
+         * @return position, from 0
+         */
+        int position(long confirmedMillis);
+    }
+
+    /** Checks of one table. */
+    private final class TableCheck {
+
+        private final WatchedTable table;
+        private final Duration checkAge;
+        private final Duration waitAge;
+        private boolean inProgress;
+        private long startNanos;
+        private int failures;
+        private long notBeforeNanos = timers.nowNanos();
+
+        private TableCheck(WatchedTable table, Duration changeTime) {
+            this.table = table;
+            this.checkAge = fraction(changeTime, CHECK_FRACTION);
+            this.waitAge = fraction(changeTime, WAIT_FRACTION);
+        }
+
+        /** Returns whether a change that must be in force may be missing; false while that is unknown. */
+        private boolean isTooOld() {
+            return watcher.age(table).filter(age -> age.compareTo(waitAge) > 0).isPresent();
+        }
+
+        private void checkIfDue() {
+            Optional<Duration> age = watcher.age(table);
+            if (age.isEmpty() || age.get().compareTo(checkAge) < 0) {
+                return;
+            }
+            long confirmedMillis = watcher.mirror(table).confirmedMillis().orElse(0);
+            Duration due = checkAge.plus(CHECK_STEP.multipliedBy(order.position(confirmedMillis)));
+            if (age.get().compareTo(due) >= 0) {
+                check();
+            }
+        }
+
+        private void check() {
+            long now = timers.nowNanos();
+            if (inProgress || now - notBeforeNanos < 0) {
+                return;
+            }
+            inProgress = true;
+            startNanos = now;
+            watcher.check(table, this::checked);
+        }
+
+        private void checked(boolean answered) {
+            inProgress = false;
+            String outcome = answered ? "answered" : "failed";
+            metrics.count("coltsfootquay_table_checks_total{outcome=\"" + outcome + "\"}");
+            if (answered) {
+                failures = 0;
+                checkedListener.run();
+            } else {
+                Duration delay = INITIAL_RETRY_DELAY.multipliedBy(1L << Math.min(failures, 3));
+                failures++;
+                notBeforeNanos =
+                        timers.nowNanos() + (delay.compareTo(MAX_RETRY_DELAY) < 0 ? delay : MAX_RETRY_DELAY).toNanos();
+                LOG.info(
+                        "table_unconfirmed",
+                        "table",
+                        table,
+                        "ageMs",
+                        watcher.age(table).map(Duration::toMillis).orElse(-1L),
+                        "waiting",
+                        waiting.size());
+                runWaiting();
+            }
+        }
+
+        /** Returns the time for which the check in progress may still delay requests. */
+        private Optional<Duration> remainingWait() {
+            Duration left = MAX_WAIT.minusNanos(timers.nowNanos() - startNanos);
+            return inProgress && !left.isNegative() && !left.isZero() ? Optional.of(left) : Optional.empty();
+        }
+    }
+}
--- a/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -101,7 +101,7 @@
     public TableSnapshot snapshot() {
         List<TableRow> all = new ArrayList<>(rows.values());
         all.addAll(removals.values());
-        return new TableSnapshot(all, readRevision, changeRevision);
+        return new TableSnapshot(all, readRevision, changeRevision, confirmedMillis);
     }
 
     /**
--- a/router/src/main/java/org/coltsfootquay/router/state/TableSnapshot.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableSnapshot.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Content of a copy of a table, as passed between routers.
@@ -10,11 +11,23 @@
  * @param readRevision revision of the latest full read that the copy includes; a row up to this revision that the copy
  *     does not have is removed
  * @param revision revision of the last change that the copy is known to include
+ * @param confirmedMillis time of the store's clock up to which the copy includes all changes, empty while unknown
  */
-public record TableSnapshot(Collection<TableRow> rows, long readRevision, long revision) {
+public record TableSnapshot(Collection<TableRow> rows, long readRevision, long revision, OptionalLong confirmedMillis) {
 
     /** Copies the rows. */
     public TableSnapshot {
         rows = List.copyOf(rows);
     }
+
+    /**
+     * Creates a copy whose age is unknown.
+     *
+     * @param rows rows
+     * @param readRevision revision of the latest full read
+     * @param revision revision of the last change
+     */
+    public TableSnapshot(Collection<TableRow> rows, long readRevision, long revision) {
+        this(rows, readRevision, revision, OptionalLong.empty());
+    }
 }
--- a/router/src/main/java/org/coltsfootquay/router/state/TableStore.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableStore.java
@@ -24,6 +24,15 @@
      */
     void watch(WatchedTable table, long afterRevision, Duration wait, Consumer<StoreReply> callback);
 
+    /**
+     * Asks for the changes of a table without waiting for any, beside a watch of the table.
+     *
+     * @param table table
+     * @param afterRevision revision after which changes are returned
+     * @param callback receives the reply
+     */
+    void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback);
+
     /**
      * Writes a row of the table of routers and overwrites an existing one.
      *
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -6,9 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.coltsfootquay.decision.common.ArgumentUtils;
 import org.coltsfootquay.decision.freshness.StoreClock;
+import org.coltsfootquay.decision.peer.TableState;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
 
@@ -70,6 +73,9 @@
     /** Initial retry delay after a failed call; short, so that a brief failure costs little time. */
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(100);
 
+    /** Time after which a watch that has not delivered a change, although a check has, is repeated. */
+    private static final Duration WATCH_OVERDUE_TIME = Duration.ofSeconds(1);
+
     /** Maximum retry delay after failed calls; half of the time within which a recovered store must be detected. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
 
@@ -89,6 +95,7 @@
     private boolean lost;
     private long lostSinceNanos;
     private boolean stopped;
+    private Runnable confirmationListener = () -> {};
 
     /**
      * Creates a watcher.
@@ -172,6 +179,58 @@
         return confirmed.isEmpty() ? Optional.empty() : clock.since(confirmed.getAsLong(), timers.nowNanos());
     }
 
+    /**
+     * Sets a listener that is called whenever a table was found to be current at a later time than before.
+     *
+     * @param listener listener
+     */
+    public void setConfirmationListener(Runnable listener) {
+        confirmationListener = ArgumentUtils.requireValue(listener, "listener");
+    }
+
+    /**
+     * Records that another router knows up to when its copy of a table includes all changes.
+     *
+     * @param table table
+     * @param theirs state of the other router's copy
+     * @param confirmedMillis milliseconds of the store's clock
+     */
+    public void peerConfirmed(WatchedTable table, TableState theirs, long confirmedMillis) {
+        if (theirs.digest() == mirror(table).state().digest()) {
+            confirmByPeer(table, confirmedMillis);
+        }
+    }
+
+    /** Ignores times that lie in the future, such as those of an earlier life of the store. */
+    private void confirmByPeer(WatchedTable table, long confirmedMillis) {
+        if (clock.since(confirmedMillis, timers.nowNanos()).isPresent()) {
+            confirm(table, confirmedMillis);
+        }
+    }
+
+    private void confirm(WatchedTable table, long storeMillis) {
+        TableMirror mirror = mirror(table);
+        if (age(table).isEmpty() || storeMillis > mirror.confirmedMillis().orElse(0)) {
+            mirror.confirm(storeMillis);
+            confirmationListener.run();
+        }
+    }
+
+    /**
+     * Asks the store whether the copy of a table is current.
+     *
+     * @param table table
+     * @param onDone receives whether the store has answered; called at once if the store is not asked, since the table
+     *     was not read yet or a call has just failed
+     */
+    public void check(WatchedTable table, Consumer<Boolean> onDone) {
+        if (stopped || consecutiveFailures > 0 || !watches.get(table).loaded) {
+            onDone.accept(false);
+        } else {
+            watches.get(table).check(onDone);
+        }
+    }
+
     /**
      * Merges a copy of a table from another router.
      *
@@ -182,10 +241,12 @@
     public boolean adoptCopy(WatchedTable table, TableSnapshot copy) {
         TableMirror mirror = mirror(table);
         if (!mirror.merge(copy)) {
+            copy.confirmedMillis().ifPresent(millis -> confirmByPeer(table, millis));
             return false;
         }
         LOG.info("table_copied", "table", table, "revision", copy.revision());
         notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
+        copy.confirmedMillis().ifPresent(millis -> confirmByPeer(table, millis));
         // The watch connection did not deliver the changes that the other router has, so it may be dead.
         watches.get(table).reconnect();
         return true;
@@ -241,6 +302,7 @@
         private boolean reconnecting;
         private long lastReadNanos;
         private long sentNanos;
+        private long replies;
 
         private Watch(WatchedTable table) {
             this.table = table;
@@ -297,17 +359,18 @@
                         "rows",
                         rows.rows().size());
                 long digest = mirror.state().digest();
-                recordStoreTime(rows);
+                replies++;
+                recordStoreTime(rows, sentNanos);
                 if (!mirror.replace(rows.rows(), rows.revision())) {
                     LOG.info("stale_read_ignored", "table", table, "revision", rows.revision());
                     var unused = timers.scheduleOnce("table watch", INITIAL_RETRY_DELAY, this::watch);
                     return;
                 }
-                confirm(rows);
                 if (!loaded || mirror.state().digest() != digest) {
                     loaded = true;
                     notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
                 }
+                rows.storeMillis().ifPresent(millis -> confirm(table, millis));
                 watch();
             } else if (reply instanceof StoreReply.Unavailable unavailable) {
                 readAfterFailure(unavailable.reason());
@@ -316,23 +379,56 @@
             }
         }
 
-        private void recordStoreTime(StoreReply.Rows rows) {
-            rows.storeMillis().ifPresent(millis -> clock.recordReply(sentNanos, timers.nowNanos(), millis));
+        private void recordStoreTime(StoreReply.Rows rows, long callSentNanos) {
+            rows.storeMillis().ifPresent(millis -> clock.recordReply(callSentNanos, timers.nowNanos(), millis));
         }
 
-        private void confirm(StoreReply.Rows rows) {
-            rows.storeMillis().ifPresent(mirror::confirm);
+        /** Applies the reply to a watch or a check; returns whether it had any new change. */
+        private boolean applyChanges(StoreReply.Rows rows, long callSentNanos) {
+            recordStoreTime(rows, callSentNanos);
+            List<TableRow> newChanges = mirror.apply(rows.rows(), rows.revision());
+            if (!newChanges.isEmpty()) {
+                notifyListener(table, () -> listener.rowsChanged(table, newChanges, mirror.rows()));
+            }
+            // Requests that wait for the confirmation are routed by the changes.
+            rows.storeMillis().ifPresent(millis -> confirm(table, millis));
+            return !newChanges.isEmpty();
+        }
+
+        private void check(Consumer<Boolean> onDone) {
+            long checkSentNanos = timers.nowNanos();
+            store.check(table, mirror.watchRevision(), reply -> {
+                if (reply instanceof StoreReply.Rows rows) {
+                    if (applyChanges(rows, checkSentNanos)) {
+                        reconnectIfOverdue();
+                    }
+                    onDone.accept(true);
+                } else if (reply instanceof StoreReply.HistoryTruncated) {
+                    reconnect();
+                    onDone.accept(true);
+                } else if (reply instanceof StoreReply.Unavailable unavailable) {
+                    LOG.info("table_check_failed", "table", table, "reason", unavailable.reason());
+                    onDone.accept(false);
+                }
+            });
+        }
+
+        /** Repeats the watch unless it delivers soon what a check has delivered. */
+        private void reconnectIfOverdue() {
+            long repliesBefore = replies;
+            var unused = timers.scheduleOnce("overdue watch", WATCH_OVERDUE_TIME.plus(changeDelay(table)), () -> {
+                if (replies == repliesBefore && !stopped) {
+                    LOG.info("watch_overdue", "table", table);
+                    reconnect();
+                }
+            });
         }
 
         private void watchDone(StoreReply reply) {
             if (reply instanceof StoreReply.Rows rows) {
                 callSucceeded();
-                recordStoreTime(rows);
-                List<TableRow> newChanges = mirror.apply(rows.rows(), rows.revision());
-                confirm(rows);
-                if (!newChanges.isEmpty()) {
-                    notifyListener(table, () -> listener.rowsChanged(table, newChanges, mirror.rows()));
-                }
+                replies++;
+                applyChanges(rows, sentNanos);
                 if (rows.rows().isEmpty()) {
                     watch();
                 } else {
--- a/router/src/test/java/org/coltsfootquay/router/neighbor/TableCopyExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/neighbor/TableCopyExchangeTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -78,6 +79,14 @@
         assertTrue(done.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    @Test
+    void copyHasTheTimeUpToWhichItIncludesAllChanges() throws Exception {
+        watcher.mirror(WatchedTable.SERVERS).confirm(5_000);
+        exchange.fetch(peer, WatchedTable.SERVERS, copies::add, done::countDown);
+        TableSnapshot copy = copies.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertEquals(OptionalLong.of(5_000), copy.confirmedMillis());
+    }
+
     @Test
     void failedAttemptEndsWithoutACopy() throws Exception {
         PeerRouter absent = new PeerRouter(peer.id(), peer.zone(), "127.0.0.1", 1, peer.callerAddress());
--- a/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
@@ -261,6 +261,11 @@
             }
         }
 
+        @Override
+        public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+            throw new UnsupportedOperationException("routers check no tables in this test");
+        }
+
         @Override
         public void putRouter(String key, byte[] value, Consumer<StoreReply> callback) {
             throw new UnsupportedOperationException("routers do not register in this test");
--- a/router/src/test/java/org/coltsfootquay/router/state/FakeTableStore.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/FakeTableStore.java
@@ -46,6 +46,11 @@
         calls.get(table).add(new Call("watch", afterRevision, wait, callback));
     }
 
+    @Override
+    public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+        calls.get(table).add(new Call("check", afterRevision, Duration.ZERO, callback));
+    }
+
     @Override
     public void putRouter(String key, byte[] value, Consumer<StoreReply> callback) {
         callback.accept(new StoreReply.Rows(List.of(), 0));
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 
 /**
@@ -22,6 +22,7 @@
  */
 final class ReplicatedTables {
 
+    private static final Duration STORE_CLOCK_OFFSET = Duration.ofHours(7);
     private static final Duration MAX_DELAY = Duration.ofMillis(60);
 
     private final Random random;
@@ -118,11 +119,25 @@
         ports.forEach(Port::deliver);
     }
 
+    private List<TableRow> changes(WatchedTable table, long afterRevision) {
+        return history.get(table).stream()
+                .filter(row -> row.revision() > afterRevision)
+                .toList();
+    }
+
+    private StoreReply.Rows rows(List<TableRow> rows) {
+        long storeNanos = STORE_CLOCK_OFFSET.toNanos() + timers.nowNanos();
+        return new StoreReply.Rows(
+                rows, revision, OptionalLong.of(Duration.ofNanos(storeNanos).toMillis()));
+    }
+
     /** Connection of a router to the store. */
     final class Port implements TableStore {
 
         private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
         private boolean rejected;
+        private boolean hanging;
+        private int checks;
 
         /** Turns the router away or serves it again. */
         void setRejected(boolean value) {
@@ -132,6 +147,16 @@
             }
         }
 
+        /** Completes no watch of the router from now on. */
+        void hangWatches() {
+            hanging = true;
+        }
+
+        /** Returns the number of checks. */
+        int checks() {
+            return checks;
+        }
+
         boolean isServed() {
             return !rejected && !down;
         }
@@ -139,9 +164,7 @@
         @Override
         public void read(WatchedTable table, Consumer<StoreReply> callback) {
             if (isServed()) {
-                reply(
-                        callback,
-                        new StoreReply.Rows(List.copyOf(tables.get(table).values()), revision));
+                reply(callback, rows(List.copyOf(tables.get(table).values())));
             } else {
                 reply(callback, new StoreReply.Unavailable("status 503"));
             }
@@ -159,6 +182,18 @@
             }
         }
 
+        @Override
+        public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+            checks++;
+            if (!isServed()) {
+                reply(callback, new StoreReply.Unavailable("status 503"));
+            } else if (afterRevision < droppedRevision) {
+                reply(callback, new StoreReply.HistoryTruncated());
+            } else {
+                reply(callback, rows(endingWatches && silent ? List.of() : changes(table, afterRevision)));
+            }
+        }
+
         @Override
         public void putRouter(String key, byte[] value, Consumer<StoreReply> callback) {
             throw new UnsupportedOperationException("routers do not register in this test");
@@ -180,13 +215,12 @@
         private void deliver() {
             for (Map.Entry<WatchedTable, Watch> entry : List.copyOf(watches.entrySet())) {
                 Watch watch = entry.getValue();
-                Stream<TableRow> changes = silent ? Stream.empty() : history.get(entry.getKey()).stream();
-                List<TableRow> rows = changes.filter(row -> row.revision() > watch.afterRevision)
-                        .toList();
-                boolean ended = timers.nowNanos() >= watch.endNanos && (!silent || endingWatches);
+                boolean told = !silent && !hanging;
+                List<TableRow> rows = told ? changes(entry.getKey(), watch.afterRevision) : List.of();
+                boolean ended = timers.nowNanos() >= watch.endNanos && (told || (endingWatches && !hanging));
                 if (!rows.isEmpty() || ended) {
                     watches.remove(entry.getKey());
-                    reply(watch.callback, new StoreReply.Rows(rows, revision));
+                    reply(watch.callback, rows(rows));
                 }
             }
         }
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
@@ -11,12 +11,15 @@
 import java.util.stream.Collectors;
 import org.coltsfootquay.decision.backend.BackendEntry;
 import org.coltsfootquay.decision.backend.BackendRegistry;
+import org.coltsfootquay.decision.common.HashUtils;
 import org.coltsfootquay.decision.common.RouterId;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.ServiceName;
 import org.coltsfootquay.decision.common.ZoneName;
+import org.coltsfootquay.decision.freshness.ChangeTimes;
 import org.coltsfootquay.decision.peer.PeerRouter;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
+import org.coltsfootquay.router.metrics.RouterMetrics;
 import org.coltsfootquay.router.neighbor.CopyCoordinator;
 import org.coltsfootquay.router.neighbor.CopyTransport;
 import org.coltsfootquay.router.neighbor.RemovalConfirmation;
@@ -41,6 +44,8 @@
     private final BackendRegistry registry = new BackendRegistry();
     private final CopyCoordinator copies;
     private final RemovalConfirmation removalConfirmation;
+    private final FreshnessMonitor freshness;
+    private double lostBeacons = LOST_BEACONS;
     private long version;
     private boolean hanging;
 
@@ -58,6 +63,13 @@
         this.watcher = new TableWatcher(port, timers, new Random(random.nextLong()), this, fleet::size);
         this.removalConfirmation = new RemovalConfirmation(registry, server -> {});
         this.copies = new CopyCoordinator(watcher, this, timers);
+        this.freshness = new FreshnessMonitor(
+                watcher,
+                timers,
+                new ChangeTimes(PropagationRun.MAX_AGE, PropagationRun.MAX_AGE),
+                this::position,
+                new RouterMetrics());
+        freshness.setCheckedListener(this::sendBeacons);
     }
 
     static List<ReplicatingRouter> fleet(int size, ReplicatedTables store, DrivenTimerService timers, Random random) {
@@ -78,8 +90,29 @@
         hanging = value;
     }
 
+    /** Receives no beacons from now on. */
+    void loseBeacons() {
+        lostBeacons = 1;
+    }
+
+    /** Returns the position among all routers, in an order that depends on the salt. */
+    private int position(long salt) {
+        return (int)
+                fleet.stream().filter(peer -> peer.order(salt) < order(salt)).count();
+    }
+
+    private long order(long salt) {
+        return HashUtils.mix(HashUtils.hash(self.id().value()) + salt);
+    }
+
+    /** Routes a request as soon as the tables are known to be current. */
+    void route(Runnable request) {
+        freshness.runWhenFresh(request);
+    }
+
     void start() {
         watcher.start();
+        freshness.start();
     }
 
     long version() {
@@ -94,7 +127,7 @@
 
     void sendBeacons() {
         for (ReplicatingRouter peer : fleet) {
-            if (peer != this && random.nextDouble() >= LOST_BEACONS) {
+            if (peer != this && random.nextDouble() >= peer.lostBeacons) {
                 peer.beaconReceived(this);
             }
         }
@@ -102,6 +135,8 @@
 
     private void beaconReceived(ReplicatingRouter peer) {
         for (WatchedTable table : List.of(WatchedTable.OPERATOR, WatchedTable.SERVERS)) {
+            TableMirror theirs = peer.watcher.mirror(table);
+            theirs.confirmedMillis().ifPresent(millis -> watcher.peerConfirmed(table, theirs.state(), millis));
             copies.stateReported(peer.self, table, peer.watcher.mirror(table).state());
         }
         removalConfirmation.contactReported(peer.self.id(), peer.registry.contactUnbroken(timers.nowNanos()));
