Check the age of the tables also before a send that a lag has delayed

A request that waits for a connection while the process is paused was sent by the registrations from before the pause. Read in the code, not seen.

--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -253,9 +253,10 @@
             return;
         }
         if (context.eventLoopLag().lagging() && !awaitedPendingReads) {
-            // The caller may have disconnected during the lag.
+            // The caller may have disconnected, and the server may have been removed, during the lag.
             awaitedPendingReads = true;
-            context.eventLoopLag().runAfterPendingReads(() -> send(serverConnection));
+            Runnable send = () -> send(serverConnection);
+            context.eventLoopLag().runAfterPendingReads(() -> context.freshness().runWhenFresh(send));
             return;
         }
         awaitedPendingReads = false;
