Do not wait for a watch again that did not deliver a change

Cause: LagMonitor gives the own watch the pause after a change (up to 600 ms, 1.2 s for servers) and 250 ms to deliver what a peer has. After each copy this time started from zero for the next change, however often the watch had failed to deliver. Each copy also closed the connection of the watch, so that a healthy one could be closed before it had delivered anything.

Change: once a copy has brought a change, the watch is given no time for later ones until one of them completes; a read does not count. The connection is replaced at the first such copy as before, and then at most every 2 s.

TableWatcherTest.connectionsThatTheWatcherClosesItselfAreNotFailures lets 2 s pass, so that the watcher still closes two connections.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
@@ -37,11 +37,11 @@
      * @param peer peer
      * @param theirs state of the peer's copy
      * @param own state of this router's copy
-     * @param pause time for which the own watch may pause after a change
+     * @param deliveryTime time for the own watch to deliver a change that a peer has
      * @param nowNanos current time
      * @return true if the peer should be asked for its copy now
      */
-    public boolean recordPeer(RouterId peer, TableState theirs, TableState own, Duration pause, long nowNanos) {
+    public boolean recordPeer(RouterId peer, TableState theirs, TableState own, Duration deliveryTime, long nowNanos) {
         boolean equal = theirs.digest() == own.digest();
         if (own.revision() >= awaitedRevision || (equal && theirs.revision() >= awaitedRevision)) {
             behind = false;
@@ -63,7 +63,7 @@
             awaitedRevision = theirs.revision();
             behindSinceNanos = nowNanos;
         }
-        return nowNanos - behindSinceNanos >= GRACE_PERIOD.plus(pause).toNanos();
+        return nowNanos - behindSinceNanos >= deliveryTime.toNanos();
     }
 
     /**
--- a/decision/src/test/java/org/coltsfootquay/decision/peer/LagMonitorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/peer/LagMonitorTest.java
@@ -68,14 +68,14 @@
     void peerWithTheSameRowsIsNotAskedAlthoughItHasReadThemLater() {
         TableState own = new TableState(7, 1);
         TableState theirs = new TableState(9, 1);
-        assertFalse(monitor.recordPeer(PEER, theirs, own, Duration.ZERO, 0));
-        assertFalse(monitor.recordPeer(PEER, theirs, own, Duration.ZERO, GRACE_PERIOD_NANOS));
+        assertFalse(monitor.recordPeer(PEER, theirs, own, LagMonitor.GRACE_PERIOD, 0));
+        assertFalse(monitor.recordPeer(PEER, theirs, own, LagMonitor.GRACE_PERIOD, GRACE_PERIOD_NANOS));
     }
 
     /** A row that one of two routers had missed stayed missed, since both had the same last change. */
     @Test
     void peerWithOtherRowsAtTheSameRevisionIsAskedAtOnce() {
-        assertTrue(monitor.recordPeer(PEER, new TableState(9, 1), new TableState(9, 2), Duration.ZERO, 0));
+        assertTrue(monitor.recordPeer(PEER, new TableState(9, 1), new TableState(9, 2), LagMonitor.GRACE_PERIOD, 0));
     }
 
     @Test
@@ -84,7 +84,7 @@
         TableState theirs = new TableState(9, 2);
         int asked = 0;
         for (long now = 0; now < Duration.ofSeconds(10).toNanos(); now += GRACE_PERIOD_NANOS) {
-            if (monitor.recordPeer(PEER, theirs, own, Duration.ZERO, now)) {
+            if (monitor.recordPeer(PEER, theirs, own, LagMonitor.GRACE_PERIOD, now)) {
                 monitor.recordAsked(PEER, theirs, own, now);
                 asked++;
             }
@@ -95,7 +95,7 @@
     @Test
     void newDifferenceIsAskedForAtOnce() {
         monitor.recordAsked(PEER, new TableState(9, 2), new TableState(9, 1), 0);
-        assertTrue(monitor.recordPeer(PEER, new TableState(10, 4), new TableState(10, 3), Duration.ZERO, 1));
+        assertTrue(monitor.recordPeer(PEER, new TableState(10, 4), new TableState(10, 3), LagMonitor.GRACE_PERIOD, 1));
     }
 
     /** Records a peer whose rows differ if its revision does. */
@@ -104,7 +104,7 @@
                 PEER,
                 new TableState(peerRevision, peerRevision),
                 new TableState(ownRevision, ownRevision),
-                pause,
+                LagMonitor.GRACE_PERIOD.plus(pause),
                 nowNanos);
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/neighbor/CopyCoordinator.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/CopyCoordinator.java
@@ -54,7 +54,7 @@
         LagMonitor monitor = lagMonitors.get(table);
         CopyRequests requests = copyRequests.get(table);
         long now = timers.nowNanos();
-        if (monitor.recordPeer(peer.id(), theirs, mirror.state(), watcher.changeDelay(table), now)
+        if (monitor.recordPeer(peer.id(), theirs, mirror.state(), watcher.deliveryTime(table), now)
                 && requests.tryStart(peer.id(), now)) {
             monitor.recordAsked(peer.id(), theirs, mirror.state(), now);
             transport.fetch(peer, table, copy -> watcher.adoptCopy(table, copy), () -> requests.end(peer.id()));
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.coltsfootquay.decision.peer.LagMonitor;
 import org.coltsfootquay.decision.timer.TimerService;
 import org.coltsfootquay.router.log.EventLog;
 
@@ -75,6 +76,9 @@
 
     private static final int MAX_RETRY_DOUBLINGS = 3;
 
+    /** Time for a new watch connection to deliver a change before it is replaced as well; each one costs a read. */
+    private static final Duration RECONNECT_DELAY = Duration.ofSeconds(2);
+
     private final TableStore store;
     private final TimerService timers;
     private final RandomGenerator random;
@@ -142,6 +146,16 @@
         };
     }
 
+    /**
+     * Returns the time for which a peer with a change is not asked for its copy, since the own watch may deliver it.
+     *
+     * @param table table
+     * @return time; zero if a copy of a peer has brought a change and no watch has completed since
+     */
+    public Duration deliveryTime(WatchedTable table) {
+        return watches.get(table).trusted ? changeDelay(table).plus(LagMonitor.GRACE_PERIOD) : Duration.ZERO;
+    }
+
     /** Stops; no further calls are made. */
     public void stop() {
         stopped = true;
@@ -171,8 +185,7 @@
         }
         LOG.info("table_copied", "table", table, "revision", copy.revision());
         notifyListener(table, () -> listener.tableReplaced(table, mirror.rows()));
-        // The watch connection did not deliver the changes that the other router has, so it may be dead.
-        watches.get(table).reconnect();
+        watches.get(table).changeCopied();
         return true;
     }
 
@@ -224,6 +237,8 @@
         private final TableMirror mirror = new TableMirror();
         private boolean loaded;
         private boolean reconnecting;
+        private boolean trusted = true;
+        private boolean checking;
         private long lastReadNanos;
 
         private Watch(WatchedTable table) {
@@ -245,6 +260,25 @@
             }
         }
 
+        /**
+         * Processes that a peer had a change earlier than this watch, whose connection may be dead. Later copies do not
+         * close the new connection at once, since it can deliver nothing if each of them does.
+         */
+        private void changeCopied() {
+            if (trusted) {
+                trusted = false;
+                reconnect();
+            } else if (!checking) {
+                checking = true;
+                var unused = timers.scheduleOnce("table watch check", RECONNECT_DELAY, () -> {
+                    checking = false;
+                    if (!trusted && !stopped) {
+                        reconnect();
+                    }
+                });
+            }
+        }
+
         /** Closes the connection; a call in progress then fails, which says nothing about the store. */
         private void reconnect() {
             reconnecting = true;
@@ -298,6 +332,7 @@
 
         private void watchDone(StoreReply reply) {
             if (reply instanceof StoreReply.Rows rows) {
+                trusted = true;
                 callSucceeded();
                 List<TableRow> newChanges = mirror.apply(rows.rows(), rows.revision());
                 if (!newChanges.isEmpty()) {
--- a/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
@@ -146,7 +146,7 @@
         private void beaconReceived(Router sender, long nowNanos) {
             TableState own = watcher.mirror(TABLE).state();
             TableState other = sender.watcher.mirror(TABLE).state();
-            if (lagMonitor.recordPeer(sender.id, other, own, watcher.changeDelay(TABLE), nowNanos)) {
+            if (lagMonitor.recordPeer(sender.id, other, own, watcher.deliveryTime(TABLE), nowNanos)) {
                 lagMonitor.recordAsked(sender.id, other, own, nowNanos);
                 watcher.adoptCopy(TABLE, sender.watcher.mirror(TABLE).snapshot());
             }
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
@@ -24,6 +24,9 @@
 
     private static final Duration MAX_DELAY = Duration.ofMillis(60);
 
+    /** Time after which a call on a dead connection fails, in addition to the time of a watch. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(1200);
+
     private final Random random;
     private final DrivenTimerService timers;
     private final Map<WatchedTable, TreeMap<String, TableRow>> tables = new EnumMap<>(WatchedTable.class);
@@ -123,6 +126,20 @@
 
         private final Map<WatchedTable, Watch> watches = new EnumMap<>(WatchedTable.class);
         private boolean rejected;
+        private boolean watchesDead;
+        private boolean readsDead;
+        private int calls;
+
+        /** Answers no watch, and no read either if all calls are meant, until they time out; or answers them again. */
+        void setDead(boolean watchesAreDead, boolean readsAreDead) {
+            watchesDead = watchesAreDead;
+            readsDead = readsAreDead;
+        }
+
+        /** Returns the number of reads and watches that the router has sent. */
+        int calls() {
+            return calls;
+        }
 
         /** Turns the router away or serves it again. */
         void setRejected(boolean value) {
@@ -138,7 +155,11 @@
 
         @Override
         public void read(WatchedTable table, Consumer<StoreReply> callback) {
-            if (isServed()) {
+            calls++;
+            if (readsDead) {
+                var unused = timers.scheduleOnce(
+                        "timeout", RESPONSE_TIMEOUT, () -> callback.accept(new StoreReply.Unavailable("timeout")));
+            } else if (isServed()) {
                 reply(
                         callback,
                         new StoreReply.Rows(List.copyOf(tables.get(table).values()), revision));
@@ -149,6 +170,7 @@
 
         @Override
         public void watch(WatchedTable table, long afterRevision, Duration wait, Consumer<StoreReply> callback) {
+            calls++;
             if (!isServed()) {
                 reply(callback, new StoreReply.Unavailable("status 503"));
             } else if (afterRevision < droppedRevision) {
@@ -180,6 +202,10 @@
         private void deliver() {
             for (Map.Entry<WatchedTable, Watch> entry : List.copyOf(watches.entrySet())) {
                 Watch watch = entry.getValue();
+                if (watchesDead) {
+                    failAtTimeout(entry.getKey(), watch);
+                    continue;
+                }
                 Stream<TableRow> changes = silent ? Stream.empty() : history.get(entry.getKey()).stream();
                 List<TableRow> rows = changes.filter(row -> row.revision() > watch.afterRevision)
                         .toList();
@@ -191,6 +217,13 @@
             }
         }
 
+        private void failAtTimeout(WatchedTable table, Watch watch) {
+            if (timers.nowNanos() >= watch.endNanos + RESPONSE_TIMEOUT.toNanos()) {
+                watches.remove(table);
+                watch.callback.accept(new StoreReply.Unavailable("timeout"));
+            }
+        }
+
         private void failWatches(String reason) {
             List<Watch> failed = List.copyOf(watches.values());
             watches.clear();
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
@@ -43,6 +43,7 @@
     private final RemovalConfirmation removalConfirmation;
     private long version;
     private boolean hanging;
+    private int requestedCopies;
 
     private ReplicatingRouter(
             String id,
@@ -82,6 +83,11 @@
         watcher.start();
     }
 
+    /** Returns the number of copies for which this router has asked. */
+    int requestedCopies() {
+        return requestedCopies;
+    }
+
     long version() {
         return version;
     }
@@ -109,6 +115,7 @@
 
     @Override
     public void fetch(PeerRouter router, WatchedTable table, Consumer<TableSnapshot> consumer, Runnable onDone) {
+        requestedCopies++;
         ReplicatingRouter peer = fleet.stream()
                 .filter(other -> other.self.equals(router))
                 .findFirst()
--- a/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/TableWatcherTest.java
@@ -9,6 +9,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Random;
+import org.coltsfootquay.decision.peer.LagMonitor;
 import org.coltsfootquay.decision.timer.DrivenTimerService;
 import org.junit.jupiter.api.Test;
 
@@ -17,6 +18,9 @@
 
     private static final WatchedTable TABLE = WatchedTable.SERVERS;
 
+    /** Time for a new connection to deliver a change. */
+    private static final long RECONNECT_NANOS = Duration.ofSeconds(2).toNanos();
+
     private final DrivenTimerService timers = new DrivenTimerService(0);
     private final FakeTableStore store = new FakeTableStore();
     private final List<String> events = new ArrayList<>();
@@ -156,6 +160,8 @@
         FakeTableStore.Call second = store.nextCall(TABLE);
         assertEquals("read", second.kind());
         watcher.adoptCopy(TABLE, copy(13, row("c", 13)));
+        timers.advance(RECONNECT_NANOS);
+        assertEquals(List.of(TABLE, TABLE), store.reconnectedWatches);
         second.callback().accept(new StoreReply.Unavailable("connection_dropped"));
         assertEquals(List.of("replaced [a]", "replaced [c]", "replaced [c]"), events);
     }
@@ -201,6 +207,57 @@
         assertEquals(List.of(TABLE), store.reconnectedWatches);
     }
 
+    /** A router with a dead watch waited for it before each copy of a peer. */
+    @Test
+    void watchThatDidNotDeliverAChangeIsGivenNoTimeForTheNextOne() {
+        startAtRevision(7);
+        assertEquals(watcher.changeDelay(TABLE).plus(LagMonitor.GRACE_PERIOD), watcher.deliveryTime(TABLE));
+        watcher.adoptCopy(TABLE, copy(12, row("c", 12)));
+        assertEquals(Duration.ZERO, watcher.deliveryTime(TABLE));
+    }
+
+    @Test
+    void readDoesNotProveThatAWatchDeliversChanges() {
+        startAtRevision(7);
+        FakeTableStore.Call watch = store.nextCall(TABLE);
+        watcher.adoptCopy(TABLE, copy(12, row("c", 12)));
+        watch.callback().accept(new StoreReply.Unavailable("connection_dropped"));
+        timers.advance(timers.nowNanos());
+        store.nextCall(TABLE).callback().accept(rows(12, row("c", 12)));
+        assertEquals(Duration.ZERO, watcher.deliveryTime(TABLE));
+    }
+
+    @Test
+    void watchThatCompletesIsGivenTimeForTheNextChange() {
+        startAtRevision(7);
+        watcher.adoptCopy(TABLE, copy(12, row("c", 12)));
+        store.nextCall(TABLE).callback().accept(rows(12, row("c", 12)));
+        assertEquals(watcher.changeDelay(TABLE).plus(LagMonitor.GRACE_PERIOD), watcher.deliveryTime(TABLE));
+    }
+
+    /** A watch whose connection each copy of a peer closes cannot deliver anything. */
+    @Test
+    void laterCopiesReplaceTheConnectionAfterADelayOnly() {
+        startAtRevision(7);
+        watcher.adoptCopy(TABLE, copy(12, row("c", 12)));
+        watcher.adoptCopy(TABLE, copy(13, row("c", 13)));
+        watcher.adoptCopy(TABLE, copy(14, row("c", 14)));
+        timers.advance(RECONNECT_NANOS - 1);
+        assertEquals(List.of(TABLE), store.reconnectedWatches);
+        timers.advance(RECONNECT_NANOS);
+        assertEquals(List.of(TABLE, TABLE), store.reconnectedWatches);
+    }
+
+    @Test
+    void connectionThatDeliversAgainIsNotReplaced() {
+        startAtRevision(7);
+        watcher.adoptCopy(TABLE, copy(12, row("c", 12)));
+        watcher.adoptCopy(TABLE, copy(13, row("c", 13)));
+        store.nextCall(TABLE).callback().accept(rows(13, row("c", 13)));
+        timers.advance(RECONNECT_NANOS);
+        assertEquals(List.of(TABLE), store.reconnectedWatches);
+    }
+
     @Test
     void olderCopyOfAPeerIsNotAdopted() {
         startAtRevision(7);
