Count the wait for each change from the time at which a peer reported it

Seen: in driven time, a router of a fleet of 95 whose store answers it 0.7 s late was behind most routers by up to 1.12 s while changes were 0.3 s apart, although a peer is to be asked 0.85 s after it has a change.

Cause: LagMonitor kept the time of the first missed change only. When the watch delivered that one, the wait for a later change that peers had had for as long started from zero.

Change: the monitor keeps the time of each missed change, of up to 64 of them.

LagMonitorTest.changeIsAwaitedSinceAPeerHadItAlthoughAnEarlierOneArrivedLater failed before.

--- a/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/peer/LagMonitor.java
@@ -1,6 +1,8 @@
 package org.coltsfootquay.decision.peer;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import org.coltsfootquay.decision.common.RouterId;
@@ -21,10 +23,11 @@
 
     private static final Duration MAX_REPEAT_DELAY = Duration.ofSeconds(30);
 
+    /** Maximum number of changes for which the time is kept; a later one counts from when there is room for it. */
+    private static final int MAX_AWAITED_CHANGES = 64;
+
     private final Map<RouterId, Difference> differences = new HashMap<>();
-    private long awaitedRevision;
-    private long behindSinceNanos;
-    private boolean behind;
+    private final Deque<AwaitedChange> awaitedChanges = new ArrayDeque<>();
 
     /** Creates a monitor for a table without known changes. */
     public LagMonitor() {
@@ -43,9 +46,7 @@
      */
     public boolean recordPeer(RouterId peer, TableState theirs, TableState own, Duration deliveryTime, long nowNanos) {
         boolean equal = theirs.digest() == own.digest();
-        if (own.revision() >= awaitedRevision || (equal && theirs.revision() >= awaitedRevision)) {
-            behind = false;
-        }
+        removeArrived(equal ? Math.max(own.revision(), theirs.revision()) : own.revision());
         if (equal) {
             differences.remove(peer);
             return false;
@@ -58,12 +59,21 @@
         if (theirs.revision() < own.revision()) {
             return false;
         }
-        if (!behind) {
-            behind = true;
-            awaitedRevision = theirs.revision();
-            behindSinceNanos = nowNanos;
+        awaitChange(theirs.revision(), nowNanos);
+        return nowNanos - awaitedChanges.element().sinceNanos >= deliveryTime.toNanos();
+    }
+
+    private void removeArrived(long revision) {
+        while (!awaitedChanges.isEmpty() && awaitedChanges.element().revision <= revision) {
+            awaitedChanges.remove();
+        }
+    }
+
+    private void awaitChange(long revision, long nowNanos) {
+        boolean later = awaitedChanges.isEmpty() || awaitedChanges.getLast().revision < revision;
+        if (later && awaitedChanges.size() < MAX_AWAITED_CHANGES) {
+            awaitedChanges.add(new AwaitedChange(revision, nowNanos));
         }
-        return nowNanos - behindSinceNanos >= deliveryTime.toNanos();
     }
 
     /**
@@ -87,6 +97,9 @@
         differences.remove(peer);
     }
 
+    /** Change that a peer has and this router has not. */
+    private record AwaitedChange(long revision, long sinceNanos) {}
+
     /** Difference for which a peer was asked. */
     private record Difference(long theirDigest, long ownDigest, Duration delay, long repeatNanos) {
 
--- a/decision/src/test/java/org/coltsfootquay/decision/peer/LagMonitorTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/peer/LagMonitorTest.java
@@ -64,6 +64,24 @@
         }
     }
 
+    /** A watch that was slow for one change was given the whole time again for a change that peers had had for long. */
+    @Test
+    void changeIsAwaitedSinceAPeerHadItAlthoughAnEarlierOneArrivedLater() {
+        record(8, 7, Duration.ZERO, 0);
+        record(9, 7, Duration.ZERO, 1);
+        assertFalse(record(9, 8, Duration.ZERO, GRACE_PERIOD_NANOS));
+        assertTrue(record(9, 8, Duration.ZERO, GRACE_PERIOD_NANOS + 1));
+    }
+
+    @Test
+    void changesAreAwaitedAgainAfterTheirNumberExceededTheLimit() {
+        for (int i = 0; i < 1000; i++) {
+            record(8 + i, 7, Duration.ZERO, i);
+        }
+        assertFalse(record(2000, 1007, Duration.ZERO, GRACE_PERIOD_NANOS));
+        assertTrue(record(2000, 1007, Duration.ZERO, 2 * GRACE_PERIOD_NANOS));
+    }
+
     @Test
     void peerWithTheSameRowsIsNotAskedAlthoughItHasReadThemLater() {
         TableState own = new TableState(7, 1);
