--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -256,7 +256,8 @@
             // The caller may have disconnected, and the server may have been removed, during the lag.
             awaitedPendingReads = true;
             Runnable send = () -> send(serverConnection);
-            context.eventLoopLag().runAfterPendingReads(() -> context.freshness().runWhenFresh(send));
+            context.eventLoopLag()
+                    .runAfterPendingReads(() -> context.freshness().runWhenFresh(send));
             return;
         }
         awaitedPendingReads = false;
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatingRouter.java
@@ -48,6 +48,7 @@
     private double lostBeacons = LOST_BEACONS;
     private long version;
     private boolean hanging;
+    private int requestedCopies;
 
     private ReplicatingRouter(
             String id,
@@ -115,6 +116,11 @@
         freshness.start();
     }
 
+    /** Returns the number of copies for which this router has asked. */
+    int requestedCopies() {
+        return requestedCopies;
+    }
+
     long version() {
         return version;
     }
@@ -144,6 +150,7 @@
 
     @Override
     public void fetch(PeerRouter router, WatchedTable table, Consumer<TableSnapshot> consumer, Runnable onDone) {
+        requestedCopies++;
         ReplicatingRouter peer = fleet.stream()
                 .filter(other -> other.self.equals(router))
                 .findFirst()
