Hold the beacons of a second in the receive buffer

Cause: the beacon socket had the default receive buffer (212,992 bytes), of which a datagram of 1,400 bytes takes 2,304. It holds 92 of them, those of 0.2 s in a fleet of 95. The kernel keeps the oldest ones and drops the rest without a trace.

Change: the socket asks for a receive buffer of 512 KiB.

--- a/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
@@ -27,6 +27,12 @@
     /** Size of the receive buffer; longer datagrams are cut off, so one that fills it may be incomplete. */
     static final int RECEIVE_BYTES = 2048;
 
+    /**
+     * Requested size of the socket's receive buffer, bytes; holds the beacons of 100 routers in one second. Linux
+     * limits the size to {@code net.core.rmem_max}, and doubles it to account for its own data.
+     */
+    private static final int SOCKET_BUFFER_BYTES = 512 * 1024;
+
     private final EventLoop eventLoop;
     private final Consumer<Beacon> receiver;
     private final RouterMetrics metrics;
@@ -57,6 +63,7 @@
                 .group(eventLoop)
                 .channel(NioDatagramChannel.class)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BYTES))
+                .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
                 .handler(new Handler())
                 .bind(host, port);
         channel = bound.channel();
