Read up to 256 beacons in an iteration of the event loop, not one

A router that lacks a change learns of it by its peers' beacons.

Cause: FixedRecvByteBufAllocator reads one message in an iteration unless told otherwise; Netty's limit of 16 for datagrams applies to the default allocator only. A router in a fleet of 95 receives 470 datagrams a second or more, so the queue never empties once an iteration takes more than 2 ms. Every beacon then waits behind the whole receive buffer, and the kernel drops the newest ones.

Evidence: real sockets on loopback, 94 senders, 470 datagrams a second of 250 to 1,350 bytes for 12 s, a task that blocks the event loop once in each iteration. Age of the datagrams read in the second half, and loss:

blocked 16 reads this change for p50 max lost p50/max lost p50/max lost 5 ms 484 ms 566 ms 60% 3/134 ms 1% 3/61 ms 0% 30 ms 3.0 s 3.5 s 92% 60/156 ms 3% 16/77 ms 0% 100 ms 8.5 s 10.6 s 97% 587/773 ms 67% 52/141 ms 0% 400 ms 9.0 s 11.8 s 99% not run 198/401 ms 0%

With the larger buffer alone the ages grow: 3.2, 14.1 and 15.0 s (p50) at 5, 30 and 100 ms in a run of 20 s. With this change a second run of 20 s, beside other work, gave p50 2, 16 and 50 ms, max 129 ms, no loss.

Change: an iteration reads until the socket is empty, 256 datagrams at most: the beacons of 0.5 s, after which the router rejects requests as overloaded anyway. They take 512 KiB while they are processed. Processing took 29 us a beacon (mean of 655 bytes, first compiler tier only, beside other work), so 256 delay requests by 7.5 ms. The metric coltsfootquay_beacon_backlogs_total counts the iterations that reach the limit.

--- a/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/BeaconChannel.java
@@ -27,6 +27,9 @@
     /** Size of the receive buffer; longer datagrams are cut off, so one that fills it may be incomplete. */
     static final int RECEIVE_BYTES = 2048;
 
+    /** Maximum number of datagrams that one iteration of the event loop reads; bounds the delay of requests. */
+    static final int MAX_READS = 256;
+
     /**
      * Requested size of the socket's receive buffer, bytes; holds the beacons of 100 routers in one second. Linux
      * limits the size to {@code net.core.rmem_max}, and doubles it to account for its own data.
@@ -43,7 +46,7 @@
      *
      * @param eventLoop event loop
      * @param receiver consumer of the beacons of other routers
-     * @param metrics metrics, which count datagrams that cannot be read
+     * @param metrics metrics, which count datagrams that cannot be read, and iterations that may leave some unread
      */
     public BeaconChannel(EventLoop eventLoop, Consumer<Beacon> receiver, RouterMetrics metrics) {
         this.metrics = metrics;
@@ -62,7 +65,9 @@
         ChannelFuture bound = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BYTES))
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(RECEIVE_BYTES).maxMessagesPerRead(MAX_READS))
                 .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
                 .handler(new Handler())
                 .bind(host, port);
@@ -87,8 +92,12 @@
 
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
 
+        /** Datagrams read in the current iteration of the event loop. */
+        private int reads;
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            reads++;
             int bytes = packet.content().readableBytes();
             if (bytes >= RECEIVE_BYTES) {
                 unreadable(packet, "longer than " + RECEIVE_BYTES + " bytes");
@@ -104,6 +113,15 @@
             receiver.accept(beacon);
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (reads >= MAX_READS) {
+                metrics.count("coltsfootquay_beacon_backlogs_total");
+            }
+            reads = 0;
+            context.fireChannelReadComplete();
+        }
+
         private void unreadable(DatagramPacket packet, String reason) {
             metrics.count("coltsfootquay_beacons_unreadable_total");
             LOG.warn("beacon_unreadable", "from", packet.sender(), "reason", reason);
