Count the beacons and updates of which no datagram arrived

What operators saw: nothing.

Cause: coltsfootquay_beacon_messages_lost_total counts the missing parts of beacons of which a part arrived, but not beacons and updates that are missing whole.

Evidence: the sequence number of a sender grows by one with each beacon and each update, and all peers are sent the same ones, so a gap between two that arrive is the number that were lost, or overtaken and ignored.

Change: coltsfootquay_beacons_lost_total sums these gaps. A new incarnation starts anew, and so does a router that was lost and is heard again.

Result: BeaconExchangeTest counts 3 of 3 lost ones, none where all arrive (a beacon of several datagrams included), and none at a restart.

--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -265,6 +265,7 @@
         }
         if (last != null) {
             routersByIncarnation.remove(last.incarnation);
+            countLost(last, beacon);
             forwarding
                     .metrics()
                     .counter("coltsfootquay_beacon_messages_lost_total")
@@ -293,12 +294,21 @@
             return;
         }
         LastBeacon last = lastBeacons.get(peer);
+        countLost(last, beacon);
         lastBeacons.put(peer, new LastBeacon(beacon.getIncarnation(), beacon.getSequence(), last.received));
         forwarding.loads().updatePeerLoads(peer, loads(beacon));
         recordEngineWork(beacon);
         recordPromptCacheUpdates(beacon);
     }
 
+    /** Counts the beacons and updates of an incarnation that are missing between two; all have their own numbers. */
+    private void countLost(LastBeacon last, Beacon beacon) {
+        long lost = beacon.getSequence() - last.sequence - 1;
+        if (last.incarnation == beacon.getIncarnation() && lost > 0) {
+            forwarding.metrics().counter("coltsfootquay_beacons_lost_total").inc(lost);
+        }
+    }
+
     private static Map<ServiceName, Map<WorkspaceId, Demand>> demands(Beacon beacon) {
         Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
         for (BeaconDemand demand : beacon.getDemandsList()) {
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -109,6 +109,49 @@
         assertEquals(ServerLoad.NONE, receiver.forwarding.loads().totalLoad(SERVER));
     }
 
+    @Test
+    void beaconsAndUpdatesThatWereNotReceivedAreCounted() {
+        sender.exchange.send(sender::capture);
+        sendUpdate();
+        sendUpdate();
+        sendUpdate();
+        sender.exchange.send(sender::capture);
+        sender.exchange.send(sender::capture);
+        for (int received : List.of(0, 2, 5)) {
+            receiver.receive(sender.datagrams.get(received));
+        }
+        assertEquals(3, receiver.lostBeacons());
+    }
+
+    @Test
+    void beaconsThatAreAllReceivedCountNoLoss() {
+        fill(60, 60, 0);
+        sender.exchange.send(sender::capture);
+        sendUpdate();
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        assertEquals(0, receiver.lostBeacons());
+    }
+
+    @Test
+    void restartOfARouterCountsNoLoss() {
+        TestRouter restarted = new TestRouter("a", 3);
+        restarted.peers.recordBeacon(receiver.self, true, 0);
+        sender.exchange.send(sender::capture);
+        for (int i = 0; i < 5; i++) {
+            restarted.datagrams.clear();
+            restarted.exchange.send(restarted::capture);
+        }
+        receiver.receiveAll(sender);
+        receiver.receiveAll(restarted);
+        assertEquals(0, receiver.lostBeacons());
+    }
+
+    private void sendUpdate() {
+        sender.forwarding.loads().addLocal(SERVER, new ServerLoad(1, 1, 1));
+        sender.exchange.sendUpdate(sender::capture);
+    }
+
     @Test
     void loadsOfALostRouterAreRemoved() {
         sender.forwarding.loads().addLocal(SERVER, new ServerLoad(2, 20, 200));
@@ -331,6 +374,13 @@
                             timers.nowNanos());
         }
 
+        private long lostBeacons() {
+            return forwarding
+                    .metrics()
+                    .counter("coltsfootquay_beacons_lost_total")
+                    .getCount();
+        }
+
         private boolean isQuarantined() {
             return forwarding
                     .quarantine()
