--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconExchange.java
@@ -281,6 +281,7 @@
         }
         if (last != null) {
             routersByIncarnation.remove(last.incarnation);
+            countLost(last, beacon);
             forwarding
                     .metrics()
                     .counter("coltsfootquay_beacon_messages_lost_total")
@@ -316,6 +317,7 @@
             return;
         }
         LastBeacon last = lastBeacons.get(peer);
+        countLost(last, beacon);
         lastBeacons.put(
                 peer, new LastBeacon(last.router, beacon.getIncarnation(), beacon.getSequence(), last.received));
         receiveTableStates(last.router, beacon);
@@ -324,6 +326,14 @@
         recordPromptCacheUpdates(beacon);
     }
 
+    /** Counts the beacons and updates of an incarnation that are missing between two; all have their own numbers. */
+    private void countLost(LastBeacon last, Beacon beacon) {
+        long lost = beacon.getSequence() - last.sequence - 1;
+        if (last.incarnation == beacon.getIncarnation() && lost > 0) {
+            forwarding.metrics().counter("coltsfootquay_beacons_lost_total").inc(lost);
+        }
+    }
+
     private static Map<ServiceName, Map<WorkspaceId, Demand>> demands(Beacon beacon) {
         Map<ServiceName, Map<WorkspaceId, Demand>> demands = new HashMap<>();
         for (BeaconDemand demand : beacon.getDemandsList()) {
