Do not count the time of a pause as the time of a check

A request that waited for a check when the process was paused was routed by the old configuration after the pause: the limit of 0.5 s had passed, and the reply that was read first had been made before the pause. Both were found by reading; FreshnessMonitorTest has them. The limit counts ticks of the event loop now, and a check whose reply is too old when it is read is repeated.

--- a/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
@@ -38,8 +38,11 @@
     /** Time after which the next router checks a table; the result of a check arrives earlier. */
     private static final Duration CHECK_STEP = Duration.ofMillis(150);
 
-    /** Time that a check may delay requests; a store in order replies within milliseconds. */
-    private static final Duration MAX_WAIT = Duration.ofMillis(500);
+    /**
+     * Ticks for which a check may delay requests; a store in order replies within milliseconds. Time in which the
+     * process is paused does not count, since the reply is read after it.
+     */
+    private static final int MAX_WAIT_TICKS = 5;
 
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -83,7 +86,7 @@
                     "coltsfootquay_table_age_seconds" + label,
                     () -> watcher.age(table).map(age -> age.toMillis() / 1e3).orElse(Double.NaN));
         }
-        watcher.setConfirmationListener(this::confirmed);
+        watcher.setConfirmationListener(this::runUnlessDelayed);
     }
 
     /**
@@ -95,10 +98,12 @@
         checkedListener = ArgumentUtils.requireValue(listener, "listener");
     }
 
-    /** Starts the checks in the background. */
+    /** Starts the checks in the background, and limits the time for which requests wait. */
     public void start() {
-        timers.schedulePeriodic(
-                "table freshness", TICK_INTERVAL, () -> checks.values().forEach(TableCheck::checkIfDue));
+        timers.schedulePeriodic("table freshness", TICK_INTERVAL, () -> {
+            checks.values().forEach(TableCheck::tick);
+            runUnlessDelayed();
+        });
     }
 
     @Override
@@ -115,24 +120,16 @@
             return;
         }
         tooOld.forEach(TableCheck::check);
-        Optional<Duration> wait =
-                tooOld.stream().flatMap(check -> check.remainingWait().stream()).max(Duration::compareTo);
-        // A check may end at once, and a check that has taken long delays no further requests.
-        if (wait.isEmpty()) {
-            task.run();
-            return;
-        }
-        metrics.count("coltsfootquay_requests_waiting_for_checks_total");
         waiting.add(task);
-        var unused = timers.scheduleOnce("check wait", wait.get(), () -> {
-            if (waiting.remove(task)) {
-                task.run();
-            }
-        });
+        // A check may end at once, and one that has taken long delays no further requests.
+        runUnlessDelayed();
+        if (waiting.contains(task)) {
+            metrics.count("coltsfootquay_requests_waiting_for_checks_total");
+        }
     }
 
-    private void confirmed() {
-        if (!waiting.isEmpty() && checks.values().stream().noneMatch(TableCheck::isTooOld)) {
+    private void runUnlessDelayed() {
+        if (!waiting.isEmpty() && checks.values().stream().noneMatch(TableCheck::delaysRequests)) {
             runWaiting();
         }
     }
@@ -140,7 +137,13 @@
     private void runWaiting() {
         List<Runnable> tasks = List.copyOf(waiting);
         waiting.clear();
-        tasks.forEach(Runnable::run);
+        for (Runnable task : tasks) {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.warn("waiting_request_failed", "error", e);
+            }
+        }
     }
 
     private static Duration fraction(Duration duration, double fraction) {
@@ -168,7 +171,7 @@
         private final Duration checkAge;
         private final Duration waitAge;
         private boolean inProgress;
-        private long startNanos;
+        private int ticks;
         private int failures;
         private long notBeforeNanos = timers.nowNanos();
 
@@ -201,7 +204,7 @@
                 return;
             }
             inProgress = true;
-            startNanos = now;
+            ticks = 0;
             watcher.check(table, this::checked);
         }
 
@@ -212,6 +215,10 @@
             if (answered) {
                 failures = 0;
                 checkedListener.run();
+                if (isTooOld() && !waiting.isEmpty()) {
+                    // The reply was made long before it was read.
+                    check();
+                }
             } else {
                 Duration delay = INITIAL_RETRY_DELAY.multipliedBy(1L << Math.min(failures, 3));
                 failures++;
@@ -225,14 +232,20 @@
                         watcher.age(table).map(Duration::toMillis).orElse(-1L),
                         "waiting",
                         waiting.size());
-                runWaiting();
+            }
+            runUnlessDelayed();
+        }
+
+        private void tick() {
+            if (inProgress) {
+                ticks++;
+            } else {
+                checkIfDue();
             }
         }
 
-        /** Returns the time for which the check in progress may still delay requests. */
-        private Optional<Duration> remainingWait() {
-            Duration left = MAX_WAIT.minusNanos(timers.nowNanos() - startNanos);
-            return inProgress && !left.isNegative() && !left.isZero() ? Optional.of(left) : Optional.empty();
+        private boolean delaysRequests() {
+            return inProgress && ticks < MAX_WAIT_TICKS && isTooOld();
         }
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -226,7 +226,7 @@
         TableMirror mirror = mirror(table);
         if (age(table).isEmpty() || storeMillis > mirror.confirmedMillis().orElse(0)) {
             mirror.confirm(storeMillis);
-            confirmationListener.run();
+            notifyListener(table, confirmationListener);
         }
     }
 
@@ -265,7 +265,7 @@
         return true;
     }
 
-    /** Notifies the listener; a row that it cannot apply must not end the watch of the table. */
+    /** Notifies a listener; a failure, such as a row that it cannot apply, must not end the watch of the table. */
     private static void notifyListener(WatchedTable table, Runnable notification) {
         try {
             notification.run();
--- a/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
@@ -21,6 +21,7 @@
     private static final WatchedTable TABLE = WatchedTable.OPERATOR;
     private static final Duration CHANGE_TIME = Duration.ofSeconds(4);
     private static final Duration TICK = Duration.ofMillis(50);
+    private static final int LAST_POSITION = 1000;
     private static final long STORE_OFFSET_MILLIS = 1_000_000;
 
     private final DrivenTimerService timers = new DrivenTimerService(0);
@@ -28,7 +29,7 @@
     private final List<String> events = new ArrayList<>();
     private final TableWatcher watcher =
             new TableWatcher(store, timers, new Random(1), new RecordingListener(), () -> 100);
-    private int position;
+    private int position = LAST_POSITION;
     private final FreshnessMonitor monitor = new FreshnessMonitor(
             watcher,
             timers,
@@ -39,6 +40,7 @@
     @BeforeEach
     void readTables() {
         watcher.start();
+        monitor.start();
         store.nextCall(TABLE).callback().accept(rows(7, row("config", 7)));
         store.nextCall(WatchedTable.SERVERS).callback().accept(rows(7));
         store.nextCall(TABLE);
@@ -122,6 +124,28 @@
         assertEquals(List.of(0L, 1L, 3L, 7L, 15L, 23L, 31L, 39L), seconds);
     }
 
+    /** After a pause, waiting requests were read before the reply to a check from before the pause. */
+    @Test
+    void pauseOfTheProcessDoesNotCountAsTimeOfACheck() {
+        advance(CHANGE_TIME);
+        route();
+        timers.advance(timers.nowNanos() + Duration.ofSeconds(9).toNanos());
+        route();
+        assertEquals(List.of(), events);
+    }
+
+    @Test
+    void checkIsRepeatedIfItsReplyIsTooOldWhenItIsRead() {
+        advance(CHANGE_TIME);
+        route();
+        StoreReply reply = rows(7);
+        timers.advance(timers.nowNanos() + Duration.ofSeconds(9).toNanos());
+        store.nextCall(TABLE).callback().accept(reply);
+        assertEquals(List.of(), events);
+        store.nextCall(TABLE).callback().accept(rows(9, row("config", 9)));
+        assertEquals(List.of("changed to 9", "routed"), events);
+    }
+
     @Test
     void copyOfAPeerEndsTheWait() {
         advance(CHANGE_TIME);
@@ -159,7 +183,7 @@
 
     @Test
     void firstRouterChecksATableThatNoReplyHasConfirmedForAWhile() {
-        monitor.start();
+        position = 0;
         advance(Duration.ofMillis(2_350));
         assertEquals(0, store.pendingCalls(TABLE));
         advance(Duration.ofMillis(150));
@@ -169,7 +193,6 @@
     @Test
     void nextRouterChecksATableThatTheFirstDoesNotConfirm() {
         position = 2;
-        monitor.start();
         advance(Duration.ofMillis(2_650));
         assertEquals(0, store.pendingCalls(TABLE));
         advance(Duration.ofMillis(150));
