--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -235,10 +235,10 @@
      *
      * @param table table
      * @param onDone receives whether the store has answered; called at once if the store is not asked, since the table
-     *     was not read yet or a call has just failed
+     *     was not read yet
      */
     public void check(WatchedTable table, Consumer<Boolean> onDone) {
-        if (stopped || consecutiveFailures > 0 || !watches.get(table).loaded) {
+        if (stopped || !watches.get(table).loaded) {
             onDone.accept(false);
         } else {
             watches.get(table).check(onDone);
