Decode the configuration only if its row has changed

Seen: each change of any row of the operator's table, such as an evacuation, and each copy of a peer that brought one, decoded the whole configuration on the event loop, on all routers at the same moment. That this has delayed a change on a deployment is not shown.

Cause: StateApplier decoded the configuration of all rows at each change, and ignored the result if the version was known.

Change: the row of the configuration is found first, and is decoded if its revision is another one. An unreadable configuration is reported once. configuration_in_force names the revision of the configuration itself, no longer that of the last row of the table.

An evacuation now decodes no configuration.

StateApplierTest.configurationIsNotDecodedAgainWhenAnotherRowHasChanged and .unreadableConfigurationIsDecodedOnce failed before (2 decodings instead of 1).

--- a/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/StateApplier.java
@@ -30,6 +30,9 @@
     private final Runnable onRegistrationMissing;
     private Set<ZoneName> evacuatedZones = Set.of();
 
+    /** Revision of the row of the last configuration, valid or not; 0 without one. */
+    private long configurationRevision;
+
     StateApplier(
             ForwardingContext forwarding,
             StateDecoder decoder,
@@ -94,16 +97,9 @@
     }
 
     private void applyOperator(Collection<TableRow> rows) {
-        decoder.configuration(rows).ifPresent(configuration -> {
-            if (forwarding.applyConfiguration(configuration)) {
-                LOG.info(
-                        "configuration_in_force",
-                        "version",
-                        configuration.version(),
-                        "revision",
-                        rows.stream().mapToLong(TableRow::revision).max().orElse(0));
-            }
-        });
+        decoder.configurationRow(rows)
+                .filter(row -> row.revision() != configurationRevision)
+                .ifPresent(this::applyConfiguration);
         Set<ZoneName> zones = decoder.evacuatedZones(rows);
         if (!zones.equals(evacuatedZones)) {
             LOG.info("evacuation_changed", "zones", zones);
@@ -112,6 +108,16 @@
         }
     }
 
+    /** Applies a changed configuration; decoding a large one takes long for an event loop. */
+    private void applyConfiguration(TableRow row) {
+        configurationRevision = row.revision();
+        decoder.configuration(row).ifPresent(configuration -> {
+            if (forwarding.applyConfiguration(configuration)) {
+                LOG.info("configuration_in_force", "version", configuration.version(), "revision", row.revision());
+            }
+        });
+    }
+
     private void applyServer(TableRow row) {
         BackendRegistry registry = forwarding.registry();
         Optional<BackendEntry> entry = row.deleted() ? Optional.empty() : decoder.server(row);
--- a/router/src/main/java/org/coltsfootquay/router/state/StateDecoder.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/StateDecoder.java
@@ -11,12 +11,20 @@
 public interface StateDecoder {
 
     /**
-     * Decodes the configuration.
+     * Finds the row of the configuration.
      *
      * @param rows rows of the operator's table
-     * @return configuration, or empty if there is no valid one
+     * @return row, or empty if there is none
+     */
+    Optional<TableRow> configurationRow(Collection<TableRow> rows);
+
+    /**
+     * Decodes the configuration.
+     *
+     * @param row row of the configuration
+     * @return configuration, or empty if the row is not a valid one
      */
-    Optional<RoutingConfiguration> configuration(Collection<TableRow> rows);
+    Optional<RoutingConfiguration> configuration(TableRow row);
 
     /**
      * Decodes the zones to evacuate.
