Encode the rows of a table once for all routers that request them

Seen: the router that has a change first is asked for a copy by all its peers at the same moment, and encoded the whole table for each of them on its event loop, which requests and beacons share. That this has delayed a change on a deployment is not shown.

Cause: TableCopyExchange built the message anew for each request.

The revisions are encoded for each request and put in front, so that the format is unchanged.

--- a/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopyExchange.java
+++ b/router/src/main/java/org/coltsfootquay/router/neighbor/TableCopyExchange.java
@@ -1,6 +1,5 @@
 package org.coltsfootquay.router.neighbor;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -22,7 +21,9 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -60,6 +61,7 @@
     private final EventLoop eventLoop;
     private final TableWatcher watcher;
     private final Supplier<CachedParts> cachedParts;
+    private final Map<WatchedTable, RowEncoder> rowEncoders = new EnumMap<>(WatchedTable.class);
 
     /**
      * Creates the exchange.
@@ -72,6 +74,9 @@
         this.cachedParts = cachedParts;
         this.eventLoop = eventLoop;
         this.watcher = watcher;
+        for (WatchedTable table : WatchedTable.values()) {
+            rowEncoders.put(table, new RowEncoder());
+        }
     }
 
     /**
@@ -156,18 +161,14 @@
             return;
         }
         TableSnapshot snapshot = watcher.mirror(table.get()).snapshot();
-        TableCopy.Builder copy = TableCopy.newBuilder()
+        TableCopy head = TableCopy.newBuilder()
                 .setTable(table.get().number())
                 .setRevision(snapshot.revision())
-                .setReadRevision(snapshot.readRevision());
-        for (TableRow row : snapshot.rows()) {
-            copy.addRows(TableCopyRow.newBuilder()
-                    .setKey(row.key())
-                    .setRevision(row.revision())
-                    .setDeleted(row.deleted())
-                    .setValue(ByteString.copyFrom(row.value())));
-        }
-        context.writeAndFlush(Unpooled.wrappedBuffer(copy.build().toByteArray()))
+                .setReadRevision(snapshot.readRevision())
+                .build();
+        byte[] rows = rowEncoders.get(table.get()).encode(snapshot.rows());
+        // The concatenation of two encoded messages is the encoding of a message with the fields of both.
+        context.writeAndFlush(Unpooled.wrappedBuffer(head.toByteArray(), rows))
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
--- a/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableMirror.java
@@ -32,6 +32,9 @@
     private long watchRevision;
     private long digest;
 
+    /** Cached rows of {@link #snapshot()}; null after a change until the next call. */
+    private List<TableRow> snapshotRows;
+
     /** Creates an empty copy at revision 0. */
     public TableMirror() {
         // The first read fills the copy.
@@ -76,12 +79,16 @@
     /**
      * Returns the content of the copy for another router.
      *
-     * @return rows, retained removals and revision of the latest full read
+     * @return rows, retained removals and revision of the latest full read; the collection of rows is the same object
+     *     as in the last call unless a row has changed
      */
     public TableSnapshot snapshot() {
-        List<TableRow> all = new ArrayList<>(rows.values());
-        all.addAll(removals.values());
-        return new TableSnapshot(all, readRevision, changeRevision);
+        if (snapshotRows == null) {
+            List<TableRow> all = new ArrayList<>(rows.values());
+            all.addAll(removals.values());
+            snapshotRows = List.copyOf(all);
+        }
+        return new TableSnapshot(snapshotRows, readRevision, changeRevision);
     }
 
     /**
@@ -149,12 +156,14 @@
         for (TableRow row : List.copyOf(rows.values())) {
             if (row.revision() <= revision && !keys.contains(row.key())) {
                 rows.remove(row.key());
+                snapshotRows = null;
                 digest -= digestOf(row);
             }
         }
     }
 
     private void put(TableRow row) {
+        snapshotRows = null;
         changeRevision = Math.max(changeRevision, row.revision());
         TableRow previous = row.deleted() ? rows.remove(row.key()) : rows.put(row.key(), row);
         if (previous != null) {
--- a/router/src/test/java/org/coltsfootquay/router/neighbor/TableCopyExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/neighbor/TableCopyExchangeTest.java
@@ -78,6 +78,18 @@
         assertTrue(done.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    @Test
+    void laterCopyHasTheLaterChanges() throws Exception {
+        watcher.mirror(WatchedTable.SERVERS).replace(List.of(new TableRow("a", VALUE, 5, false)), 6);
+        exchange.fetch(peer, WatchedTable.SERVERS, copies::add, () -> {});
+        assertEquals(6, copies.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).readRevision());
+        watcher.mirror(WatchedTable.SERVERS).replace(List.of(new TableRow("a", VALUE, 7, false)), 8);
+        exchange.fetch(peer, WatchedTable.SERVERS, copies::add, () -> {});
+        TableSnapshot later = copies.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertEquals(8, later.readRevision());
+        assertEquals(List.of(7L), later.rows().stream().map(TableRow::revision).toList());
+    }
+
     @Test
     void failedAttemptEndsWithoutACopy() throws Exception {
         PeerRouter absent = new PeerRouter(peer.id(), peer.zone(), "127.0.0.1", 1, peer.callerAddress());
