Watch for longer in a small fleet

Watches of small fleets were short so that one of them soon ends and reveals a hidden change. Checks do that now within the time for changes, so that watches may last as long as 10 s; a fleet of 48 or more has 30 s as before.

--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -30,10 +30,9 @@
 
     /**
      * Maximum duration of a watch of tables whose changes must arrive within a time bound. A watch on a dead connection
-     * hides changes for this time; since the watches of routers end at different times, one of them soon sees a change
-     * and informs the others.
+     * hides changes for this time, unless the watch of another router ends or a check of the table finds them earlier.
      */
-    private static final Duration MAX_WATCH_DURATION = Duration.ofSeconds(5);
+    private static final Duration MAX_WATCH_DURATION = Duration.ofSeconds(10);
 
     /**
      * Fleet size up to which {@link #MAX_WATCH_DURATION} applies. Watches of a larger fleet are longer: some router's
