Bound the attempts of a check, and count a time that cannot be compared as too old

A check now reads the table once if the history is gone, has three attempts while requests wait, and may follow a failure as soon as the store replies to any call. The pauses of EventLoopTimersTest end when the test has acted.

--- a/decision/src/main/java/org/coltsfootquay/decision/freshness/StoreClock.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/freshness/StoreClock.java
@@ -12,6 +12,9 @@
  */
 public final class StoreClock {
 
+    /** Inaccuracy of the estimate after a correction, at most the time that a reply takes. */
+    private static final long TOLERANCE_MILLIS = 20;
+
     private static final long NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
 
     private boolean known;
@@ -58,9 +61,9 @@
      */
     public Optional<Duration> since(long storeMillis, long nowNanos) {
         OptionalLong now = millis(nowNanos);
-        if (now.isEmpty() || storeMillis > now.getAsLong()) {
+        if (now.isEmpty() || storeMillis > now.getAsLong() + TOLERANCE_MILLIS) {
             return Optional.empty();
         }
-        return Optional.of(Duration.ofMillis(now.getAsLong() - storeMillis));
+        return Optional.of(Duration.ofMillis(Math.max(0, now.getAsLong() - storeMillis)));
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -87,7 +87,7 @@
     /** Number of sends that a server may have executed: those not reported as not executed. */
     private int unresolvedSends;
 
-    private boolean awaitedPendingReads;
+    private boolean checkedState;
     private boolean streaming;
     private boolean done;
     private long firstEventNanos;
@@ -252,15 +252,18 @@
             context.connectionPool().release(serverConnection);
             return;
         }
-        if (context.eventLoopLag().lagging() && !awaitedPendingReads) {
-            // The caller may have disconnected, and the server may have been removed, during the lag.
-            awaitedPendingReads = true;
-            Runnable send = () -> send(serverConnection);
-            context.eventLoopLag()
-                    .runAfterPendingReads(() -> context.freshness().runWhenFresh(send));
+        if (!checkedState) {
+            checkedState = true;
+            Runnable send = () -> context.freshness().runWhenFresh(() -> send(serverConnection));
+            if (context.eventLoopLag().lagging()) {
+                // The caller may have disconnected, and the server may have been removed, during the lag.
+                context.eventLoopLag().runAfterPendingReads(send);
+            } else {
+                send.run();
+            }
             return;
         }
-        awaitedPendingReads = false;
+        checkedState = false;
         BackendEntry target = selectedServer.entry();
         if (!serverConnection.isOpen()) {
             connectFailed(target, "closed before use");
--- a/router/src/main/java/org/coltsfootquay/router/node/EventLoopTimers.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/EventLoopTimers.java
@@ -73,7 +73,8 @@
 
         @Override
         public void run() {
-            boolean late = nowNanos() - dueNanos > MAX_DELAY_NANOS;
+            // A task with the minimum delay only waits for the sockets to be read.
+            boolean late = delay.compareTo(MIN_DELAY) > 0 && nowNanos() - dueNanos > MAX_DELAY_NANOS;
             if (late) {
                 var unused = eventLoop.schedule(this::runNow, MIN_DELAY.toNanos(), TimeUnit.NANOSECONDS);
             } else {
--- a/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
@@ -46,8 +46,13 @@
 
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofSeconds(1);
 
-    /** Maximum delay of the next check after one has failed; calls to a store that is down have a cost too. */
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(8);
+    /** Doublings of the delay after checks that fail; calls to a store that is down have a cost too. */
+    private static final int MAX_RETRY_DOUBLINGS = 3;
+
+    /** Attempts of a check for which requests wait. */
+    private static final int MAX_ATTEMPTS = 3;
+
+    private static final Duration ATTEMPT_DELAY = Duration.ofMillis(50);
 
     private final TableWatcher watcher;
     private final TimerService timers;
@@ -172,8 +177,10 @@
         private final Duration waitAge;
         private boolean inProgress;
         private int ticks;
+        private int attempts;
         private int failures;
-        private long notBeforeNanos = timers.nowNanos();
+        private long failedNanos;
+        private Duration retryDelay = Duration.ZERO;
 
         private TableCheck(WatchedTable table, Duration changeTime) {
             this.table = table;
@@ -181,61 +188,83 @@
             this.waitAge = fraction(changeTime, WAIT_FRACTION);
         }
 
-        /** Returns whether a change that must be in force may be missing; false while that is unknown. */
+        /** Returns whether a change that must be in force may be missing; false while the store states no time. */
         private boolean isTooOld() {
-            return watcher.age(table).filter(age -> age.compareTo(waitAge) > 0).isPresent();
+            return isOlderThan(waitAge);
+        }
+
+        /** Treats a time that cannot be compared with the clock of this router as too old. */
+        private boolean isOlderThan(Duration limit) {
+            return watcher.mirror(table).confirmedMillis().isPresent()
+                    && watcher.age(table)
+                            .filter(age -> age.compareTo(limit) <= 0)
+                            .isEmpty();
         }
 
         private void checkIfDue() {
-            Optional<Duration> age = watcher.age(table);
-            if (age.isEmpty() || age.get().compareTo(checkAge) < 0) {
-                return;
-            }
-            long confirmedMillis = watcher.mirror(table).confirmedMillis().orElse(0);
-            Duration due = checkAge.plus(CHECK_STEP.multipliedBy(order.position(confirmedMillis)));
-            if (age.get().compareTo(due) >= 0) {
-                check();
+            if (isOlderThan(checkAge)) {
+                int position =
+                        order.position(watcher.mirror(table).confirmedMillis().orElse(0));
+                if (isOlderThan(checkAge.plus(CHECK_STEP.multipliedBy(position)))) {
+                    check();
+                }
             }
         }
 
         private void check() {
-            long now = timers.nowNanos();
-            if (inProgress || now - notBeforeNanos < 0) {
-                return;
+            if (!inProgress && !waitsForRetry()) {
+                inProgress = true;
+                ticks = 0;
+                attempts = 0;
+                attempt();
             }
-            inProgress = true;
-            ticks = 0;
-            watcher.check(table, this::checked);
         }
 
-        private void checked(boolean answered) {
-            inProgress = false;
+        /** Returns whether the store has failed a moment ago, and has not replied to any call since. */
+        private boolean waitsForRetry() {
+            return failures > 0
+                    && timers.nowNanos() - failedNanos < retryDelay.toNanos()
+                    && watcher.lastSuccessNanos() <= failedNanos;
+        }
+
+        private void attempt() {
+            attempts++;
+            watcher.check(table, this::attemptDone);
+        }
+
+        private void attemptDone(boolean answered) {
+            boolean confirmed = answered && !isTooOld();
             String outcome = answered ? "answered" : "failed";
             metrics.count("coltsfootquay_table_checks_total{outcome=\"" + outcome + "\"}");
-            if (answered) {
+            if (!confirmed && attempts < MAX_ATTEMPTS && ticks < MAX_WAIT_TICKS && !waiting.isEmpty()) {
+                // A call may fail since its connection was closed, and its reply may date from before a pause.
+                var unused = timers.scheduleOnce("check attempt", ATTEMPT_DELAY, this::attempt);
+                return;
+            }
+            inProgress = false;
+            if (confirmed) {
                 failures = 0;
                 checkedListener.run();
-                if (isTooOld() && !waiting.isEmpty()) {
-                    // The reply was made long before it was read.
-                    check();
-                }
             } else {
-                Duration delay = INITIAL_RETRY_DELAY.multipliedBy(1L << Math.min(failures, 3));
-                failures++;
-                notBeforeNanos =
-                        timers.nowNanos() + (delay.compareTo(MAX_RETRY_DELAY) < 0 ? delay : MAX_RETRY_DELAY).toNanos();
-                LOG.info(
-                        "table_unconfirmed",
-                        "table",
-                        table,
-                        "ageMs",
-                        watcher.age(table).map(Duration::toMillis).orElse(-1L),
-                        "waiting",
-                        waiting.size());
+                failed();
             }
             runUnlessDelayed();
         }
 
+        private void failed() {
+            retryDelay = INITIAL_RETRY_DELAY.multipliedBy(1L << Math.min(failures, MAX_RETRY_DOUBLINGS));
+            failures++;
+            failedNanos = timers.nowNanos();
+            LOG.info(
+                    "table_unconfirmed",
+                    "table",
+                    table,
+                    "ageMs",
+                    watcher.age(table).map(Duration::toMillis).orElse(-1L),
+                    "waiting",
+                    waiting.size());
+        }
+
         private void tick() {
             if (inProgress) {
                 ticks++;
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -1,6 +1,7 @@
 package org.coltsfootquay.router.state;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -97,6 +98,7 @@
     private int consecutiveFailures;
     private boolean lost;
     private long lostSinceNanos;
+    private long lastSuccessNanos;
     private boolean stopped;
     private Runnable confirmationListener = () -> {};
 
@@ -192,6 +194,15 @@
         return confirmed.isEmpty() ? Optional.empty() : clock.since(confirmed.getAsLong(), timers.nowNanos());
     }
 
+    /**
+     * Returns the time of the last successful call.
+     *
+     * @return time of the timer service in nanoseconds, 0 before the first such call
+     */
+    public long lastSuccessNanos() {
+        return lastSuccessNanos;
+    }
+
     /**
      * Sets a listener that is called whenever a table was found to be current at a later time than before.
      *
@@ -209,14 +220,14 @@
      * @param confirmedMillis milliseconds of the store's clock
      */
     public void peerConfirmed(WatchedTable table, TableState theirs, long confirmedMillis) {
-        if (theirs.digest() == mirror(table).state().digest()) {
+        if (confirmedMillis > 0 && theirs.digest() == mirror(table).state().digest()) {
             confirmByPeer(table, confirmedMillis);
         }
     }
 
-    /** Ignores times that lie in the future, such as those of an earlier life of the store. */
+    /** Ignores times that this router cannot compare with its own, since the store has not replied to it. */
     private void confirmByPeer(WatchedTable table, long confirmedMillis) {
-        if (clock.since(confirmedMillis, timers.nowNanos()).isPresent()) {
+        if (clock.millis(timers.nowNanos()).isPresent()) {
             confirm(table, confirmedMillis);
         }
     }
@@ -233,11 +244,10 @@
      * Asks the store whether the copy of a table is current.
      *
      * @param table table
-     * @param onDone receives whether the store has answered; called at once if the store is not asked, since the table
-     *     was not read yet
+     * @param onDone receives whether the store has answered; if the table is being read, the read counts
      */
     public void check(WatchedTable table, Consumer<Boolean> onDone) {
-        if (stopped || !watches.get(table).loaded) {
+        if (stopped) {
             onDone.accept(false);
         } else {
             watches.get(table).check(onDone);
@@ -275,6 +285,7 @@
 
     private void callSucceeded() {
         consecutiveFailures = 0;
+        lastSuccessNanos = timers.nowNanos();
         if (lost) {
             lost = false;
             LOG.info(
@@ -317,6 +328,9 @@
         private long lastReadNanos;
         private long sentNanos;
         private long replies;
+        private boolean reading;
+        private Optional<TimerService.ScheduledTask> nextCall = Optional.empty();
+        private final List<Consumer<Boolean>> awaitingRead = new ArrayList<>();
 
         private Watch(WatchedTable table) {
             this.table = table;
@@ -327,10 +341,24 @@
                 reconnecting = false;
                 lastReadNanos = timers.nowNanos();
                 sentNanos = lastReadNanos;
-                store.read(table, this::readDone);
+                reading = true;
+                store.read(table, reply -> {
+                    reading = false;
+                    readDone(reply);
+                    List<Consumer<Boolean>> callbacks = List.copyOf(awaitingRead);
+                    awaitingRead.clear();
+                    callbacks.forEach(callback -> callback.accept(reply instanceof StoreReply.Rows));
+                });
             }
         }
 
+        private void schedule(String name, Duration delay, Runnable call) {
+            nextCall = Optional.of(timers.scheduleOnce(name, delay, () -> {
+                nextCall = Optional.empty();
+                call.run();
+            }));
+        }
+
         private void watch() {
             if (!stopped) {
                 reconnecting = false;
@@ -367,7 +395,7 @@
         /** Reads the table after a call has failed; with a delay, unless this watcher closed the connection. */
         private void readAfterFailure(String reason) {
             Duration delay = reconnecting ? Duration.ZERO : callFailed(table, reason);
-            var unused = timers.scheduleOnce("table read", delay, this::read);
+            schedule("table read", delay, this::read);
         }
 
         private Duration watchDuration() {
@@ -396,7 +424,7 @@
                 recordStoreTime(rows, sentNanos);
                 if (!mirror.replace(rows.rows(), rows.revision())) {
                     LOG.info("stale_read_ignored", "table", table, "revision", rows.revision());
-                    var unused = timers.scheduleOnce("table watch", INITIAL_RETRY_DELAY, this::watch);
+                    schedule("table watch", INITIAL_RETRY_DELAY, this::watch);
                     return;
                 }
                 if (!loaded || mirror.state().digest() != digest) {
@@ -429,6 +457,10 @@
         }
 
         private void check(Consumer<Boolean> onDone) {
+            if (!loaded && (reading || nextCall.isPresent())) {
+                awaitingRead.add(onDone);
+                return;
+            }
             long checkSentNanos = timers.nowNanos();
             store.check(table, mirror.watchRevision(), reply -> {
                 if (reply instanceof StoreReply.Rows rows) {
@@ -437,8 +469,7 @@
                     }
                     onDone.accept(true);
                 } else if (reply instanceof StoreReply.HistoryTruncated) {
-                    reconnect();
-                    onDone.accept(true);
+                    readNow(onDone);
                 } else if (reply instanceof StoreReply.Unavailable unavailable) {
                     LOG.info("table_check_failed", "table", table, "reason", unavailable.reason());
                     onDone.accept(false);
@@ -446,6 +477,19 @@
             });
         }
 
+        /** Reads the table at once, since the store has dropped the history that a check needs. */
+        private void readNow(Consumer<Boolean> onDone) {
+            awaitingRead.add(onDone);
+            if (nextCall.isPresent()) {
+                nextCall.get().cancel();
+                nextCall = Optional.empty();
+                read();
+            } else if (!reading) {
+                // The watch that fails is followed by a read.
+                reconnect();
+            }
+        }
+
         /** Repeats the watch unless it delivers soon what a check has delivered. */
         private void reconnectIfOverdue() {
             long repliesBefore = replies;
@@ -460,13 +504,14 @@
         private void watchDone(StoreReply reply) {
             if (reply instanceof StoreReply.Rows rows) {
                 trusted = true;
+                loaded = true;
                 callSucceeded();
                 replies++;
                 applyChanges(rows, sentNanos);
                 if (rows.rows().isEmpty()) {
                     watch();
                 } else {
-                    var unused = timers.scheduleOnce("table watch", changeDelay(table), this::watch);
+                    schedule("table watch", changeDelay(table), this::watch);
                 }
             } else if (reply instanceof StoreReply.HistoryTruncated) {
                 LOG.info("store_history_gone", "table", table, "revision", mirror.watchRevision());
@@ -482,7 +527,7 @@
             if (elapsed >= INITIAL_RETRY_DELAY.toNanos()) {
                 read();
             } else {
-                var unused = timers.scheduleOnce("table read", INITIAL_RETRY_DELAY, this::read);
+                schedule("table read", INITIAL_RETRY_DELAY, this::read);
             }
         }
     }
--- a/router/src/test/java/org/coltsfootquay/router/node/EventLoopTimersTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/EventLoopTimersTest.java
@@ -28,13 +28,14 @@
 
     private static final long TIMEOUT_MILLIS = Duration.ofSeconds(5).toMillis();
     private static final Duration DELAY = Duration.ofMillis(50);
-    private static final int PAUSE_MILLIS = 400;
+    private static final int LATE_MILLIS = 200;
 
     private final EventLoopGroup group = ChannelUtils.eventLoops("timers-test", 1);
     private final EventLoop eventLoop = group.next();
     private final EventLoopTimers timers = new EventLoopTimers(eventLoop);
     private final List<String> events = new CopyOnWriteArrayList<>();
     private final CountDownLatch paused = new CountDownLatch(1);
+    private final CountDownLatch pauseEnd = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(2);
 
     @AfterEach
@@ -53,6 +54,7 @@
         try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             byte[] beacon = Beacon.newBuilder().setRouter("r").build().toByteArray();
             socket.send(new DatagramPacket(beacon, beacon.length, address));
+            pauseEnd.countDown();
         }
         assertTrue(done.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
         assertEquals(List.of("received", "task"), events);
@@ -60,8 +62,9 @@
 
     @Test
     void taskThatIsCancelledWhileItIsLateDoesNotRun() throws Exception {
+        pauseEnd.countDown();
         ScheduledTask task = pauseAndRunLateTask();
-        Future<?> cancelled = eventLoop.schedule(task::cancel, DELAY.toMillis(), TimeUnit.MILLISECONDS);
+        Future<?> cancelled = eventLoop.submit(task::cancel);
         assertTrue(cancelled.await(TIMEOUT_MILLIS));
         Future<?> later = eventLoop.schedule(() -> {}, DELAY.toMillis(), TimeUnit.MILLISECONDS);
         assertTrue(later.await(TIMEOUT_MILLIS));
@@ -70,11 +73,19 @@
 
     @Test
     void periodicTaskRunsOnceAfterAPause() throws Exception {
-        ScheduledTask task = timers.schedulePeriodic("task", Duration.ofMillis(100), () -> record("task"));
-        eventLoop.execute(EventLoopTimersTest::pause);
-        Future<?> after = eventLoop.schedule(() -> {}, 60, TimeUnit.MILLISECONDS);
-        assertTrue(after.await(TIMEOUT_MILLIS));
-        Future<?> later = eventLoop.schedule(task::cancel, 60, TimeUnit.MILLISECONDS);
+        CountDownLatch ran = new CountDownLatch(1);
+        ScheduledTask[] task = new ScheduledTask[1];
+        Future<?> paused = eventLoop.submit(() -> {
+            task[0] = timers.schedulePeriodic("task", DELAY, () -> {
+                record("task");
+                task[0].cancel();
+                ran.countDown();
+            });
+            sleep(LATE_MILLIS);
+        });
+        assertTrue(paused.await(TIMEOUT_MILLIS));
+        assertTrue(ran.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        Future<?> later = eventLoop.schedule(() -> {}, DELAY.toMillis(), TimeUnit.MILLISECONDS);
         assertTrue(later.await(TIMEOUT_MILLIS));
         assertEquals(List.of("task"), events);
     }
@@ -83,13 +94,7 @@
     private ScheduledTask pauseAndRunLateTask() throws Exception {
         return eventLoop
                 .submit(() -> {
-                    var unused = eventLoop.schedule(
-                            () -> {
-                                paused.countDown();
-                                pause();
-                            },
-                            DELAY.toMillis(),
-                            TimeUnit.MILLISECONDS);
+                    var unused = eventLoop.schedule(this::pause, DELAY.toMillis(), TimeUnit.MILLISECONDS);
                     ScheduledTask task = timers.scheduleOnce("task", DELAY, () -> record("task"));
                     // The event loop finds both tasks due when this one ends.
                     sleep(2 * DELAY.toMillis());
@@ -98,15 +103,21 @@
                 .get();
     }
 
+    private void pause() {
+        paused.countDown();
+        sleep(LATE_MILLIS);
+        try {
+            assertTrue(pauseEnd.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void record(String event) {
         events.add(event);
         done.countDown();
     }
 
-    private static void pause() {
-        sleep(PAUSE_MILLIS);
-    }
-
     private static void sleep(long millis) {
         try {
             Thread.sleep(millis);
--- a/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.coltsfootquay.decision.freshness.ChangeTimes;
@@ -29,6 +30,8 @@
     private final List<String> events = new ArrayList<>();
     private final TableWatcher watcher =
             new TableWatcher(store, timers, new Random(1), new RecordingListener(), () -> 100);
+    private FakeTableStore.Call watch;
+    private FakeTableStore.Call serversWatch;
     private int position = LAST_POSITION;
     private final FreshnessMonitor monitor = new FreshnessMonitor(
             watcher,
@@ -43,7 +46,8 @@
         monitor.start();
         store.nextCall(TABLE).callback().accept(rows(7, row("config", 7)));
         store.nextCall(WatchedTable.SERVERS).callback().accept(rows(7));
-        store.nextCall(TABLE);
+        serversWatch = store.nextCall(WatchedTable.SERVERS);
+        watch = store.nextCall(TABLE);
         events.clear();
     }
 
@@ -102,26 +106,51 @@
     }
 
     @Test
-    void requestIsRoutedWhenTheCheckFails() {
+    void requestIsRoutedWhenAllAttemptsFail() {
         advance(CHANGE_TIME);
         route();
-        store.nextCall(TABLE).callback().accept(new StoreReply.Unavailable("status 503"));
+        failAttempts(2);
+        assertEquals(List.of(), events);
+        failAttempts(1);
         assertEquals(List.of("routed"), events);
     }
 
+    /** A connection that the store has closed, or a rate limit, released all requests that waited. */
+    @Test
+    void requestWaitsForTheNextAttemptIfOneFails() {
+        advance(CHANGE_TIME);
+        route();
+        failAttempts(1);
+        store.nextCall(TABLE).callback().accept(rows(9, row("config", 9)));
+        assertEquals(List.of("changed to 9", "routed"), events);
+    }
+
     @Test
     void checksThatFailAreRepeatedWithGrowingDelays() {
         advance(CHANGE_TIME);
         List<Long> seconds = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             route();
+            Duration left = Duration.ofSeconds(1);
             if (store.pendingCalls(TABLE) > 0) {
                 seconds.add((long) i);
-                store.nextCall(TABLE).callback().accept(new StoreReply.Unavailable("status 503"));
+                failAttempts(3);
+                left = left.minus(TICK.multipliedBy(3));
             }
-            advance(Duration.ofSeconds(1));
+            advance(left);
         }
-        assertEquals(List.of(0L, 1L, 3L, 7L, 15L, 23L, 31L, 39L), seconds);
+        assertEquals(List.of(0L, 2L, 5L, 10L, 19L, 28L, 37L), seconds);
+    }
+
+    @Test
+    void checkIsRepeatedAtOnceAfterTheStoreHasRepliedToAnotherCall() {
+        advance(CHANGE_TIME);
+        route();
+        failAttempts(3);
+        advance(TICK);
+        serversWatch.callback().accept(rows(7));
+        route();
+        assertEquals(1, store.pendingCalls(TABLE));
     }
 
     /** After a pause, waiting requests were read before the reply to a check from before the pause. */
@@ -142,6 +171,7 @@
         timers.advance(timers.nowNanos() + Duration.ofSeconds(9).toNanos());
         store.nextCall(TABLE).callback().accept(reply);
         assertEquals(List.of(), events);
+        advance(TICK);
         store.nextCall(TABLE).callback().accept(rows(9, row("config", 9)));
         assertEquals(List.of("changed to 9", "routed"), events);
     }
@@ -172,13 +202,31 @@
         assertEquals(List.of(), events);
     }
 
-    /** The times of a store before its restart would make a table current for ever. */
+    /** The clock of a suspended VM stops, so that its tables seemed to be young after the suspension. */
     @Test
-    void timeInTheFutureConfirmsNothing() {
-        advance(CHANGE_TIME);
+    void timeInTheFutureCausesACheck() {
         watcher.peerConfirmed(TABLE, watcher.mirror(TABLE).state(), storeMillis() + 60_000);
         route();
         assertEquals(List.of(), events);
+        assertEquals("check", store.nextCall(TABLE).kind());
+    }
+
+    @Test
+    void tableIsCheckedAfterTheClockOfTheStoreWasReset() {
+        advance(Duration.ofSeconds(1));
+        serversWatch.callback().accept(new StoreReply.Rows(List.of(), 7, OptionalLong.of(5)));
+        route();
+        assertEquals(List.of(), events);
+        assertEquals("check", store.nextCall(TABLE).kind());
+    }
+
+    @Test
+    void peerThatKnowsNoTimeConfirmsNothing() {
+        TableWatcher unread = new TableWatcher(store, timers, new Random(1), new RecordingListener(), () -> 100);
+        unread.start();
+        store.nextCall(TABLE).callback().accept(rows(7));
+        unread.peerConfirmed(WatchedTable.SERVERS, new TableState(0, 0), 0);
+        assertEquals(Optional.empty(), unread.age(WatchedTable.SERVERS));
     }
 
     @Test
@@ -208,12 +256,31 @@
         assertEquals(List.of("routed", "told"), events);
     }
 
+    /** Each further check closed the connection of the read, so that the request waited for ever. */
     @Test
-    void tableIsReadAgainIfTheHistorySinceTheLastReplyIsGone() {
+    void tableIsReadOnceIfTheHistorySinceTheLastReplyIsGone() {
         advance(CHANGE_TIME);
         route();
         store.nextCall(TABLE).callback().accept(new StoreReply.HistoryTruncated());
         assertEquals(List.of(TABLE), store.reconnectedWatches);
+        watch.callback().accept(new StoreReply.Unavailable("connection_dropped"));
+        advance(TICK);
+        route();
+        assertEquals(1, store.pendingCalls(TABLE));
+        FakeTableStore.Call read = store.nextCall(TABLE);
+        assertEquals("read", read.kind());
+        read.callback().accept(rows(9, row("config", 9)));
+        assertEquals(List.of("replaced with 9", "routed", "routed"), events);
+        assertEquals(List.of(TABLE), store.reconnectedWatches);
+    }
+
+    @Test
+    void tableIsReadAtOnceIfItsHistoryIsGoneWhileNoWatchIsOpen() {
+        watch.callback().accept(rows(8, row("config", 8)));
+        watcher.check(TABLE, answered -> events.add("answered " + answered));
+        store.nextCall(TABLE).callback().accept(new StoreReply.HistoryTruncated());
+        store.nextCall(TABLE).callback().accept(rows(9, row("config", 9)));
+        assertEquals(List.of("changed to 8", "replaced with 9", "answered true"), events);
     }
 
     /** A watch on a dead connection would deliver nothing until its maximum time. */
@@ -230,6 +297,14 @@
         monitor.runWhenFresh(() -> events.add("routed"));
     }
 
+    /** Fails attempts of a check, and advances the clock to the next attempt after each. */
+    private void failAttempts(int count) {
+        for (int i = 0; i < count; i++) {
+            store.nextCall(TABLE).callback().accept(new StoreReply.Unavailable("status 503"));
+            advance(TICK);
+        }
+    }
+
     private void advance(Duration duration) {
         long end = timers.nowNanos() + duration.toNanos();
         while (timers.nowNanos() < end) {
