--- a/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
@@ -49,11 +49,20 @@
     /** Doublings of the delay after checks that fail; calls to a store that is down have a cost too. */
     private static final int MAX_RETRY_DOUBLINGS = 3;
 
+    /** Attempts of a check in the background. */
+    private static final int MIN_ATTEMPTS = 2;
+
     /** Attempts of a check for which requests wait. */
     private static final int MAX_ATTEMPTS = 3;
 
     private static final Duration ATTEMPT_DELAY = Duration.ofMillis(50);
 
+    /** Time of the first attempt; its connection may have gone silent, and the next attempt uses a new one. */
+    private static final Duration FIRST_ATTEMPT_TIMEOUT = Duration.ofMillis(250);
+
+    /** Time of later attempts; a store that is slow still confirms the table for later requests. */
+    private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1200);
+
     private final TableWatcher watcher;
     private final TimerService timers;
     private final CheckOrder order;
@@ -229,14 +238,15 @@
 
         private void attempt() {
             attempts++;
-            watcher.check(table, this::attemptDone);
+            watcher.check(table, attempts == 1 ? FIRST_ATTEMPT_TIMEOUT : ATTEMPT_TIMEOUT, this::attemptDone);
         }
 
         private void attemptDone(boolean answered) {
             boolean confirmed = answered && !isTooOld();
             String outcome = answered ? "answered" : "failed";
             metrics.count("coltsfootquay_table_checks_total{outcome=\"" + outcome + "\"}");
-            if (!confirmed && attempts < MAX_ATTEMPTS && ticks < MAX_WAIT_TICKS && !waiting.isEmpty()) {
+            boolean requestsWait = !waiting.isEmpty() && ticks < MAX_WAIT_TICKS;
+            if (!confirmed && attempts < (requestsWait ? MAX_ATTEMPTS : MIN_ATTEMPTS)) {
                 // A call may fail since its connection was closed, and its reply may date from before a pause.
                 var unused = timers.scheduleOnce("check attempt", ATTEMPT_DELAY, this::attempt);
                 return;
--- a/router/src/main/java/org/coltsfootquay/router/state/TableStore.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableStore.java
@@ -29,9 +29,10 @@
      *
      * @param table table
      * @param afterRevision revision after which changes are returned
+     * @param timeout time after which the call fails; the next check then uses a new connection
      * @param callback receives the reply
      */
-    void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback);
+    void check(WatchedTable table, long afterRevision, Duration timeout, Consumer<StoreReply> callback);
 
     /**
      * Writes a row of the table of routers and overwrites an existing one.
--- a/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/TableWatcher.java
@@ -244,13 +244,14 @@
      * Asks the store whether the copy of a table is current.
      *
      * @param table table
+     * @param timeout time after which the call fails
      * @param onDone receives whether the store has answered; if the table is being read, the read counts
      */
-    public void check(WatchedTable table, Consumer<Boolean> onDone) {
+    public void check(WatchedTable table, Duration timeout, Consumer<Boolean> onDone) {
         if (stopped) {
             onDone.accept(false);
         } else {
-            watches.get(table).check(onDone);
+            watches.get(table).check(timeout, onDone);
         }
     }
 
@@ -456,13 +457,13 @@
             return !newChanges.isEmpty();
         }
 
-        private void check(Consumer<Boolean> onDone) {
+        private void check(Duration timeout, Consumer<Boolean> onDone) {
             if (!loaded && (reading || nextCall.isPresent())) {
                 awaitingRead.add(onDone);
                 return;
             }
             long checkSentNanos = timers.nowNanos();
-            store.check(table, mirror.watchRevision(), reply -> {
+            store.check(table, mirror.watchRevision(), timeout, reply -> {
                 if (reply instanceof StoreReply.Rows rows) {
                     if (applyChanges(rows, checkSentNanos)) {
                         reconnectIfOverdue();
--- a/router/src/test/java/org/coltsfootquay/router/node/TableConfirmationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/TableConfirmationTest.java
@@ -33,6 +33,7 @@
 final class TableConfirmationTest {
 
     private static final WatchedTable TABLE = WatchedTable.OPERATOR;
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     private final DrivenTimerService timers = new DrivenTimerService(0);
     private final ConfirmingRouter sender = new ConfirmingRouter("a", 1);
@@ -41,7 +42,7 @@
     TableConfirmationTest() {
         timers.advance(Duration.ofSeconds(3).toNanos());
         sender.peers.recordBeacon(receiver.self, true, timers.nowNanos());
-        sender.watcher.check(TABLE, answered -> {});
+        sender.watcher.check(TABLE, TIMEOUT, answered -> {});
     }
 
     @Test
@@ -54,7 +55,7 @@
     void updateAfterACheckConfirmsTheEqualTableOfAPeer() {
         sender.exchange.send(receiver::receive);
         timers.advance(Duration.ofSeconds(6).toNanos());
-        sender.watcher.check(TABLE, answered -> {});
+        sender.watcher.check(TABLE, TIMEOUT, answered -> {});
         sender.exchange.sendTableStates(receiver::receive);
         assertEquals(Optional.of(Duration.ofMillis(1)), receiver.watcher.age(TABLE));
     }
@@ -127,7 +128,7 @@
 
         @Override
         public void read(WatchedTable table, Consumer<StoreReply> callback) {
-            check(table, 0, callback);
+            check(table, 0, Duration.ZERO, callback);
         }
 
         @Override
@@ -136,7 +137,7 @@
         }
 
         @Override
-        public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+        public void check(WatchedTable table, long afterRevision, Duration timeout, Consumer<StoreReply> callback) {
             long storeMillis = Duration.ofHours(1).toMillis()
                     + Duration.ofNanos(timers.nowNanos()).toMillis();
             callback.accept(new StoreReply.Rows(List.of(), 1, OptionalLong.of(storeMillis)));
--- a/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ChangePropagationTest.java
@@ -262,7 +262,7 @@
         }
 
         @Override
-        public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+        public void check(WatchedTable table, long afterRevision, Duration timeout, Consumer<StoreReply> callback) {
             throw new UnsupportedOperationException("routers check no tables in this test");
         }
 
--- a/router/src/test/java/org/coltsfootquay/router/state/FakeTableStore.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/FakeTableStore.java
@@ -47,8 +47,8 @@
     }
 
     @Override
-    public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
-        calls.get(table).add(new Call("check", afterRevision, Duration.ZERO, callback));
+    public void check(WatchedTable table, long afterRevision, Duration timeout, Consumer<StoreReply> callback) {
+        calls.get(table).add(new Call("check", afterRevision, timeout, callback));
     }
 
     @Override
--- a/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/FreshnessMonitorTest.java
@@ -125,6 +125,14 @@
         assertEquals(List.of("changed to 9", "routed"), events);
     }
 
+    /** The kept connection of checks had gone silent together with that of the watch. */
+    @Test
+    void firstAttemptFailsEarlyEnoughForAnotherOneWhileRequestsWait() {
+        advance(CHANGE_TIME);
+        route();
+        assertEquals(Duration.ofMillis(250), store.nextCall(TABLE).maxWait());
+    }
+
     @Test
     void checksThatFailAreRepeatedWithGrowingDelays() {
         advance(CHANGE_TIME);
@@ -277,7 +285,7 @@
     @Test
     void tableIsReadAtOnceIfItsHistoryIsGoneWhileNoWatchIsOpen() {
         watch.callback().accept(rows(8, row("config", 8)));
-        watcher.check(TABLE, answered -> events.add("answered " + answered));
+        watcher.check(TABLE, CHANGE_TIME, answered -> events.add("answered " + answered));
         store.nextCall(TABLE).callback().accept(new StoreReply.HistoryTruncated());
         store.nextCall(TABLE).callback().accept(rows(9, row("config", 9)));
         assertEquals(List.of("changed to 8", "replaced with 9", "answered true"), events);
--- a/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
+++ b/router/src/test/java/org/coltsfootquay/router/state/ReplicatedTables.java
@@ -198,7 +198,7 @@
         }
 
         @Override
-        public void check(WatchedTable table, long afterRevision, Consumer<StoreReply> callback) {
+        public void check(WatchedTable table, long afterRevision, Duration timeout, Consumer<StoreReply> callback) {
             checks++;
             if (readsDead) {
                 timeOut(callback);
