--- a/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
+++ b/router/src/main/java/org/coltsfootquay/router/state/FreshnessMonitor.java
@@ -33,7 +33,7 @@
     private static final double CHECK_FRACTION = 0.6;
 
     /** Age at which requests wait for a check, as a fraction of the time for changes; the rest is the time to route. */
-    private static final double WAIT_FRACTION = 0.8;
+    private static final double WAIT_FRACTION = 0.9;
 
     /** Time after which the next router checks a table; the result of a check arrives earlier. */
     private static final Duration CHECK_STEP = Duration.ofMillis(150);
