--- a/decision/src/main/java/org/coltsfootquay/decision/freshness/StoreClock.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/freshness/StoreClock.java
@@ -8,7 +8,7 @@
  * Estimate of the store's clock, from the times that its replies state; not thread-safe.
  *
  * <p>The estimate is an upper bound as long as the local clock runs, so that an age derived from it is never too small.
- * The local clock of a VM may stop while the VM is suspended; the next reply corrects the estimate.
+ * The local clock of a VM may stop while the VM is suspended; ages are then too small until the next reply.
  */
 public final class StoreClock {
 
