Add review case 6: a stream whose engine started again behind a cut ends as complete

Cause: CrashDetector.checkAlive takes a connection to the address of an engine as proof that the engine which gave an answer without a length is alive, also if another incarnation listens there.

--- /dev/null
+++ b/review/standins-2/Engine.java
@@ -0,0 +1,85 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Engine of the model service. It answers each request with a stream of numbered events. Every second answer has
+ * neither a length nor chunks and ends with its channel.
+ *
+ * <p>Arguments: host, port, id.
+ */
+final class Engine {
+
+    static final int EVENTS = 40;
+    static final int EVENT_MILLIS = 50;
+
+    private final String id;
+
+    private Engine(String id) {
+        this.id = id;
+    }
+
+    public static void main(String[] arguments) throws IOException {
+        Engine engine = new Engine(arguments[2]);
+        ServerSocket socket =
+                new ServerSocket(Integer.parseInt(arguments[1]), 200, InetAddress.getByName(arguments[0]));
+        while (true) {
+            Socket connection = socket.accept();
+            Threads.start("connection", () -> engine.serve(connection));
+        }
+    }
+
+    /** Returns the data of an event; the last one of a stream says so. */
+    static String data(String request, int number) {
+        return request + "." + number + (number == EVENTS ? ".last" : "");
+    }
+
+    private void serve(Socket connection) throws IOException, InterruptedException {
+        connection.setTcpNoDelay(true);
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            OutputStream out = connection.getOutputStream();
+            boolean kept = true;
+            for (Message request = Message.readRequest(in); kept && request != null; ) {
+                kept = answer(request, out);
+                request = kept ? Message.readRequest(in) : null;
+            }
+        }
+    }
+
+    private boolean answer(Message request, OutputStream out) throws IOException, InterruptedException {
+        String requestId = request.header(Wire.get("header.request"), "");
+        if (!request.header(Wire.get("header.expect"), id).equals(id)) {
+            write(out, "HTTP/1.1 421 Misdirected Request\r\n" + Wire.get("header.instance") + ": " + id + "\r\n"
+                    + Wire.get("header.request") + ": " + requestId + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        boolean framed = Math.floorMod(requestId.hashCode(), 2) == 0;
+        System.out.println("run " + requestId + " at " + id + " tenant "
+                + request.header(Wire.get("header.tenant"), "none") + (framed ? " framed" : " unframed"));
+        write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + Wire.get("header.request") + ": "
+                + requestId + "\r\n" + Wire.get("header.seal") + ": seal." + id + "\r\n"
+                + (framed ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
+        int last = Integer.parseInt(request.header(Wire.get("header.lastEvent"), "0"));
+        for (int number = last + 1; number <= EVENTS; number++) {
+            Thread.sleep(EVENT_MILLIS);
+            String event = "id: " + number + "\ndata: " + data(requestId, number) + "\n\n";
+            write(out, framed ? Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" : event);
+        }
+        if (framed) {
+            write(out, "0\r\n\r\n");
+        }
+        System.out.println("end " + requestId + " at " + id);
+        return framed;
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+}
