--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -8,8 +8,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Engine of the model service. It answers each request with a stream of numbered events. Every second answer has
- * neither a length nor chunks and ends with its channel.
+ * Engine. Requests on routes of streams are answered with a stream of numbered events; every second such answer has
+ * neither a length nor chunks and ends with its channel. All others are answered with a short body of known length.
  *
  * <p>Arguments: host, port, id.
  */
@@ -17,6 +17,7 @@
 
     static final int EVENTS = 40;
     static final int EVENT_MILLIS = 50;
+    static final int WORK_MILLIS = 86;
 
     private final String id;
 
@@ -59,9 +60,13 @@
                     + Wire.get("header.request") + ": " + requestId + "\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
+        if (!request.startLine.contains(" /resumable/") && !request.startLine.contains(" /single/")) {
+            answerShortly(request, requestId, out);
+            return true;
+        }
         boolean framed = Math.floorMod(requestId.hashCode(), 2) == 0;
         System.out.println("run " + requestId + " at " + id + " tenant "
-                + request.header(Wire.get("header.tenant"), "none") + (framed ? " framed" : " unframed"));
+                + request.header(Wire.get("header.tenant"), "none") + (framed ? " framed" : " unframed") + " millis " + System.currentTimeMillis());
         write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + Wire.get("header.request") + ": "
                 + requestId + "\r\n" + Wire.get("header.seal") + ": seal." + id + "\r\n"
                 + (framed ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
@@ -78,6 +83,17 @@
         return framed;
     }
 
+    private void answerShortly(Message request, String requestId, OutputStream out)
+            throws IOException, InterruptedException {
+        System.out.println("run " + requestId + " at " + id + " millis " + System.currentTimeMillis());
+        Thread.sleep(WORK_MILLIS);
+        System.out.println("end " + requestId + " at " + id);
+        String body = "done " + requestId + "\n" + ".".repeat(800);
+        write(out, "HTTP/1.1 200 OK\r\n" + Wire.get("header.request") + ": " + requestId + "\r\n"
+                + Wire.get("header.seal") + ": seal." + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body);
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
--- a/review/standins-2/Link.java
+++ b/review/standins-2/Link.java
@@ -34,7 +34,12 @@
         socket.close();
     }
 
-    /** Ends the cut; new channels lead to the given port of the engine. */
+    /** Refuses new channels, as the address of an engine that has ended does. */
+    synchronized void refuse() throws IOException {
+        socket.close();
+    }
+
+    /** Ends the cut or the refusal; new channels lead to the given port of the engine. */
     synchronized void heal(int newTarget) throws IOException {
         target = newTarget;
         socket = new ServerSocket(port, 200, host);
--- a/review/standins-2/Requester.java
+++ b/review/standins-2/Requester.java
@@ -36,10 +36,22 @@
                 + Wire.get("header.deadline") + ": " + deadlineMillis + "\r\n" + Wire.get("header.model") + ": m\r\n"
                 + Wire.get("header.usage") + ": 1460,160\r\n" + Wire.get("header.parts") + ": " + sharedPart
                 + ":1000," + id.substring(0, 8) + ":460\r\nContent-Length: 4\r\n\r\nbody";
+        return send(host, port, id, head, STREAM_GAP_MILLIS);
+    }
+
+    /** Sends a request that is answered with a short body. */
+    static Result call(String host, int port, String path, String id, int deadlineMillis) {
+        String head = "POST " + path + " HTTP/1.1\r\nHost: " + Wire.get("host") + "\r\n" + Wire.get("header.request")
+                + ": " + id + "\r\n" + Wire.get("header.key") + ": " + Wire.get("key") + "\r\n"
+                + Wire.get("header.deadline") + ": " + deadlineMillis + "\r\nContent-Length: 4\r\n\r\nbody";
+        return send(host, port, id, head, deadlineMillis);
+    }
+
+    private static Result send(String host, int port, String id, String head, int timeoutMillis) {
         try (Socket connection = new Socket()) {
             connection.connect(new InetSocketAddress(host, port), 1000);
             connection.setTcpNoDelay(true);
-            connection.setSoTimeout(STREAM_GAP_MILLIS);
+            connection.setSoTimeout(timeoutMillis);
             OutputStream out = connection.getOutputStream();
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
