--- a/review/standins-2/EarlierBirth.java
+++ b/review/standins-2/EarlierBirth.java
@@ -50,7 +50,7 @@
 
     private int run() throws IOException, InterruptedException {
         fleet.startEngines(ENGINES);
-        fleet.startRouters();
+        fleet.startRouters(2);
         record.add("routers are ready, trouble " + (trouble ? "on" : "off"));
         ExecutorService requesters = Executors.newCachedThreadPool();
         Threads.start("engine", this::moveEngine);
--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -9,19 +9,20 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Small deployment: the store, two routers and the engines of one service, all on loopback addresses. */
+/** Small deployment: the store, routers and the engines of one service, all on loopback addresses. */
 final class Fleet {
 
     static final int BEAT_MILLIS = 1200;
 
     private static final int LAPSE_MILLIS = 3 * BEAT_MILLIS;
     private static final int COLD_MILLIS = 3000;
-    private static final int ROUTERS = 2;
 
     final Store store;
     final List<Processes.RouterAddress> routers = new ArrayList<>();
     final List<Member> members = new ArrayList<>();
     final Processes processes;
+    /** Current process of each router. */
+    final List<Process> routerProcesses = new ArrayList<>();
 
     private final Path folder;
     private final Record record;
@@ -66,9 +67,9 @@
     }
 
     /** Starts the routers and waits until they are ready. */
-    void startRouters() throws IOException, InterruptedException {
+    void startRouters(int count) throws IOException, InterruptedException {
         int peerPort = Processes.freePort(host);
-        for (int i = 0; i < ROUTERS; i++) {
+        for (int i = 0; i < count; i++) {
             String routerHost = host.substring(0, host.length() - 1) + (2 + i);
             routers.add(Processes.RouterAddress.of("router-" + (i + 1), "zone-a", routerHost, peerPort));
         }
@@ -76,7 +77,7 @@
                 .map(router -> router.host() + ":" + router.directoryPort())
                 .toList();
         for (Processes.RouterAddress router : routers) {
-            processes.startRouter(router, store.address(), seeds);
+            routerProcesses.add(processes.startRouter(router, store.address(), seeds));
         }
         for (Processes.RouterAddress router : routers) {
             awaitReady(router);
@@ -84,6 +85,12 @@
         Thread.sleep(1500);
     }
 
+    /** Starts the process of a router once more, as the platform does after its end. */
+    void restartRouter(int number) throws IOException {
+        Processes.RouterAddress router = routers.get(number);
+        routerProcesses.set(number, processes.startRouter(router, store.address(), List.of()));
+    }
+
     /** Ends all processes and adds what the engines have run to the record. */
     void end() {
         processes.endAll();
@@ -97,7 +104,7 @@
                 .toList();
     }
 
-    private static void awaitReady(Processes.RouterAddress router) throws IOException, InterruptedException {
+    static void awaitReady(Processes.RouterAddress router) throws IOException, InterruptedException {
         for (int i = 0; i < 200; i++) {
             HttpURLConnection page = (HttpURLConnection) URI.create(
                             "http://" + router.host() + ":" + router.readyPort() + Wire.get("path.ready"))
--- a/review/standins-2/RebornEngine.java
+++ b/review/standins-2/RebornEngine.java
@@ -46,7 +46,7 @@
 
     private int run() throws IOException, InterruptedException {
         fleet.startEngines(ENGINES);
-        fleet.startRouters();
+        fleet.startRouters(2);
         record.add("routers are ready, trouble " + (trouble ? "on" : "off"));
         ExecutorService requesters = Executors.newCachedThreadPool();
         Threads.start("trouble", this::makeTrouble);
