--- a/review/standins-2/EarlierBirth.java
+++ b/review/standins-2/EarlierBirth.java
@@ -24,6 +24,9 @@
     private static final long DRAIN_MILLIS = 2000;
     private static final int DEADLINE_MILLIS = 6000;
     private static final int ENGINES = 7;
+    private static final int ROUTERS = 8;
+    /** Of so many requests one has a shared part that no request had before. */
+    private static final int NEW_PART_INTERVAL = 3;
 
     private final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     private final Record record;
@@ -50,7 +53,7 @@
 
     private int run() throws IOException, InterruptedException {
         fleet.startEngines(ENGINES);
-        fleet.startRouters(2);
+        fleet.startRouters(ROUTERS);
         record.add("routers are ready, trouble " + (trouble ? "on" : "off"));
         ExecutorService requesters = Executors.newCachedThreadPool();
         Threads.start("engine", this::moveEngine);
@@ -119,8 +122,9 @@
         Processes.RouterAddress router = fleet.routers.get(number % fleet.routers.size());
         String id = Requester.newId();
         record.add("sent " + id + " to " + router.name());
-        Requester.Result result = Requester.stream(
-                router.host(), router.frontPort(), "/single/x", id, "a" + id, DEADLINE_MILLIS);
+        String part = number % NEW_PART_INTERVAL == 0 ? "a" + id : "a" + number % 40;
+        Requester.Result result =
+                Requester.stream(router.host(), router.frontPort(), "/single/x", id, part, DEADLINE_MILLIS);
         Message response = result.response();
         String outcome = response == null
                 ? result.error()
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -6,12 +6,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * Engine. Requests on routes of streams are answered with a stream of numbered events; every second such answer has
  * neither a length nor chunks and ends with its channel. All others are answered with a short body of known length.
  *
- * <p>Arguments: host, port, id.
+ * <p>Arguments: host, port, id, path of a file that exists once the engine is leaving.
  */
 final class Engine {
 
@@ -21,12 +23,15 @@
 
     private final String id;
 
-    private Engine(String id) {
+    private final Path leavingFile;
+
+    private Engine(String id, Path leavingFile) {
         this.id = id;
+        this.leavingFile = leavingFile;
     }
 
     public static void main(String[] arguments) throws IOException {
-        Engine engine = new Engine(arguments[2]);
+        Engine engine = new Engine(arguments[2], Path.of(arguments[3]));
         ServerSocket socket =
                 new ServerSocket(Integer.parseInt(arguments[1]), 200, InetAddress.getByName(arguments[0]));
         while (true) {
@@ -69,6 +74,7 @@
                 + request.header(Wire.get("header.tenant"), "none") + (framed ? " framed" : " unframed") + " millis " + System.currentTimeMillis());
         write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + Wire.get("header.request") + ": "
                 + requestId + "\r\n" + Wire.get("header.seal") + ": seal." + id + "\r\n"
+                + leavingHeader()
                 + (framed ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
         int last = Integer.parseInt(request.header(Wire.get("header.lastEvent"), "0"));
         for (int number = last + 1; number <= EVENTS; number++) {
@@ -83,6 +89,11 @@
         return framed;
     }
 
+    /** An engine that leaves says so in all its answers. */
+    private String leavingHeader() {
+        return Files.exists(leavingFile) ? Wire.get("header.leaving") + ": 1\r\n" : "";
+    }
+
     private void answerShortly(Message request, String requestId, OutputStream out)
             throws IOException, InterruptedException {
         System.out.println("run " + requestId + " at " + id + " millis " + System.currentTimeMillis());
@@ -90,7 +101,7 @@
         System.out.println("end " + requestId + " at " + id);
         String body = "done " + requestId + "\n" + ".".repeat(800);
         write(out, "HTTP/1.1 200 OK\r\n" + Wire.get("header.request") + ": " + requestId + "\r\n"
-                + Wire.get("header.seal") + ": seal." + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + Wire.get("header.seal") + ": seal." + id + "\r\n" + leavingHeader() + "Content-Length: " + body.length() + "\r\n\r\n"
                 + body);
     }
 
--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -162,10 +162,15 @@
             startedNanos = System.nanoTime();
             beatNanos = 0;
             String name = "engine-" + id;
-            process = processes.startStandIn(name, List.of("Engine", host, Integer.toString(port), id));
+            process = processes.startStandIn(
+                    name, List.of("Engine", host, Integer.toString(port), id, leavingFile().toString()));
             outputs.add(name);
         }
 
+        private Path leavingFile() {
+            return folder.resolve("leaving-" + id);
+        }
+
         /** Kills the engine; it says nothing to the store until {@link #reachStore()}. */
         void crash() throws InterruptedException {
             synchronized (this) {
@@ -180,7 +185,8 @@
         }
 
         /** Announces that the engine leaves; returns when the store has accepted that. */
-        synchronized void drain() {
+        synchronized void drain() throws IOException {
+            Files.createFile(leavingFile());
             state = "draining";
             beatNanos = 0;
             beat();
