Add review case 7: parts that crash engines pass three times if requests come in batches

Cause: crashes count against a part only if they are successive, so that all crashes of one batch count once. Script: review/7/run.sh.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# An engine that was born earlier than its boot before, by its own clock, leaves.
-exec "$(dirname "$0")/../run-case-2.sh" review/7 EarlierBirth
+# Requests with a part that crashes engines come several at a time.
+exec "$(dirname "$0")/../run-case-2.sh" review/7 DeadlyBursts
--- a/review/standins-2/Processes.java
+++ b/review/standins-2/Processes.java
@@ -57,7 +57,7 @@
         return start(name, command, Map.of());
     }
 
-    /** Writes the settings of a router from the template and returns its process, with the command of the deploy file. */
+    /** Starts a router with the command of the deploy file and settings from the template. */
     Process startRouter(RouterAddress router, String store, List<String> seeds) throws IOException {
         Path settings = folder.resolve(router.name() + ".json");
         Files.writeString(settings, settings(router, store, seeds));
