Let one request at a time be sent with a part that several servers crashed with

Callers saw: a part of a prompt crashes each engine that begins to answer it, and requests with it come in batches.

Cause: nothing bounded how many requests with a suspected part are at engines at the same time. Crashes of one moment count once, since engines that fail together interrupt the same popular parts, so each of the three pieces of evidence that a verdict needs cost a whole batch.

Change: from the second crash without an answer on, simultaneous or not, one request at a time in the whole fleet may be at an engine with the part. Routers announce such requests to each other; others wait for the outcome, 2 s at most, and are then told to return. The first answer at any router frees the part. Verdicts are as before. Requests that wait, limited parts and waits are logged and counted.

Why it works: after the batch that nobody could know of, each request with the part is alone, follows the crash before, and is one more piece of evidence, so a part that was never answered costs two more requests. An outage leaves the same trace, but the next request is answered.

PartQuarantineTest.newsEndsAfterSomeRepetitions recorded two crashes of a part and required that a beacon says nothing of them after some repetitions. Routers that join have to learn of a limited part now, so two crashes are repeated at intervals; the test requires the same of one crash, and two new tests require what two crashes cause. Bounds are unchanged.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -28,6 +28,9 @@
  */
 final class CrashEvidence {
 
+    /** Crashes without an answer in between, simultaneous or not, from which one request at a time may have a part. */
+    static final int CRASHES_BEFORE_EXPOSURE_LIMIT = 2;
+
     /** Crashes without an answer in between that prove a request. */
     static final int REQUIRED_CRASHES_OF_REQUEST = 2;
 
@@ -125,6 +128,23 @@
         return suspects;
     }
 
+    /**
+     * Returns the shared parts that were involved in several crashes and have not been answered since. One crash takes
+     * all parts of the moment along; those of requests by themselves are not shared.
+     */
+    Set<PartKey> exposureLimited() {
+        Map<PartKey, Integer> unanswered = new HashMap<>();
+        crashes.values()
+                .forEach(parts -> parts.forEach((part, involvement) -> {
+                    if (!answeredSince(part, involvement.crashNanos())
+                            && !involvement.requests().contains(part)) {
+                        unanswered.merge(part, 1, Integer::sum);
+                    }
+                }));
+        unanswered.values().removeIf(count -> count < CRASHES_BEFORE_EXPOSURE_LIMIT);
+        return unanswered.keySet();
+    }
+
     /** Returns the parts to which crashes are attributed, those with the most crashes first. */
     List<Culprit> culprits(long nowNanos) {
         removeObsolete(nowNanos);
@@ -225,14 +245,14 @@
         crashes.values().removeIf(Map::isEmpty);
     }
 
-    /** Returns the most recent crashes that are attributed to a culprit, restricted to its parts. */
-    Map<CrashReport, Long> crashesOf(Culprit culprit, int limit) {
+    /** Returns the most recent crashes in which all given parts were involved, restricted to these parts. */
+    Map<CrashReport, Long> crashesOf(Set<PartKey> culprit, int limit) {
         Map<CrashReport, Long> found = new HashMap<>();
         crashes.forEach((incarnation, parts) -> {
-            if (parts.keySet().containsAll(culprit.parts())) {
+            if (parts.keySet().containsAll(culprit)) {
                 List<UnansweredPart> involved = new ArrayList<>();
-                culprit.parts().forEach(part -> parts.get(part).addTo(involved, part));
-                long time = parts.get(culprit.parts().iterator().next()).crashNanos();
+                culprit.forEach(part -> parts.get(part).addTo(involved, part));
+                long time = parts.get(culprit.iterator().next()).crashNanos();
                 found.put(new CrashReport(incarnation.server(), incarnation.startedMillis(), involved), time);
             }
         });
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -21,6 +21,9 @@
  * conclusions, so that a router can withdraw a conclusion that later evidence contradicts. A quarantine lapses after a
  * time that doubles with each further crash. Then single requests are let through as trials: an answer ends the
  * quarantine on all routers, another crash extends it.
+ *
+ * <p>From the second crash without an answer on, the routers together let one request at a time through with a part, so
+ * that a part which crashes servers gets no more of them than its proof needs. The others wait for the outcome.
  */
 public final class PartQuarantine {
 
@@ -69,7 +72,11 @@
     /** Maximum number of answers that wait to be sent; more than the parts that one crash involves. */
     private static final int MAX_ANSWERS_TO_SEND = 256;
 
+    /** Maximum number of parts with limited exposure whose crashes are repeated for routers that join. */
+    private static final int MAX_REPEATED_PARTS = 16;
+
     private final CrashEvidence evidence = new CrashEvidence();
+    private final ProbeClaims claims;
     private final QuarantineListener listener;
     private final IntSupplier routers;
     private final RandomGenerator random;
@@ -77,6 +84,7 @@
     private final Map<CrashReport, Outgoing> crashesToSend = new LinkedHashMap<>();
     private final Map<PartKey, Outgoing> answersToSend = new LinkedHashMap<>();
     private Set<PartKey> suspects = Set.of();
+    private Set<PartKey> exposureLimited = Set.of();
     private long evaluatedNanos;
     private long repeatedNanos = Long.MIN_VALUE / 2;
 
@@ -91,6 +99,7 @@
         this.routers = ArgumentUtils.requireValue(routers, "routers");
         this.listener = ArgumentUtils.requireValue(listener, "listener");
         this.random = ArgumentUtils.requireValue(random, "random");
+        this.claims = new ProbeClaims(routers, random);
     }
 
     /**
@@ -177,6 +186,81 @@
         }
     }
 
+    /**
+     * Returns the number by which {@link #tryProbe} tells a request from others.
+     *
+     * @return random number
+     */
+    public long newProbe() {
+        return random.nextLong();
+    }
+
+    /**
+     * Returns whether a request may be sent without a second one with the same suspected part at any server. If not, it
+     * may be allowed to later, once other routers have had time to object or another request has ended.
+     *
+     * @param probe number of the request
+     * @param parts shared parts of its prompt
+     * @param nowNanos current time
+     * @return true if it may be sent now
+     */
+    public boolean tryProbe(long probe, Set<PartKey> parts, long nowNanos) {
+        if (!isExposureLimited(parts)) {
+            return true;
+        }
+        Set<PartKey> limited = new HashSet<>(parts);
+        limited.retainAll(exposureLimited);
+        boolean acquired = claims.tryAcquire(probe, limited, nowNanos);
+        tellClaims();
+        return acquired;
+    }
+
+    /**
+     * Returns whether only one request at a time may be at a server with one of some parts.
+     *
+     * @param parts shared parts of a prompt
+     * @return true if one of them was involved in several crashes and has not been answered since
+     */
+    public boolean isExposureLimited(Set<PartKey> parts) {
+        return !exposureLimited.isEmpty() && parts.stream().anyMatch(exposureLimited::contains);
+    }
+
+    /**
+     * Records that a request is sent; has no effect unless its parts are suspected.
+     *
+     * @param probe number of the request
+     * @param nowNanos current time
+     */
+    public void probeSent(long probe, long nowNanos) {
+        claims.sent(probe, nowNanos);
+        tellClaims();
+    }
+
+    /**
+     * Records that a request is not, or no longer, at a server; has no effect unless its parts were suspected.
+     *
+     * @param probe number of the request
+     */
+    public void probeEnded(long probe) {
+        claims.end(probe);
+        tellClaims();
+    }
+
+    private void tellClaims() {
+        if (claims.hasUnsentNews()) {
+            listener.newsAdded();
+        }
+    }
+
+    /**
+     * Returns the number of parts that only one request at a time may have at a server.
+     *
+     * @return number
+     */
+    public int exposureLimitedParts() {
+        return exposureLimited.size();
+    }
+
     /**
      * Records what another router tells.
      *
@@ -212,6 +296,8 @@
         if (changed) {
             evaluate(nowNanos);
         }
+        news.claims().forEach(claim -> claims.receive(claim, nowNanos));
+        tellClaims();
     }
 
     private static boolean isPlausible(Duration age) {
@@ -221,8 +307,8 @@
     /**
      * Returns what the other routers should be told now.
      *
-     * @param all true to repeat the crashes behind each quarantine, for routers that have not received them, unless
-     *     this router has done so a short time ago
+     * @param all true to repeat the crashes behind each quarantine and limit, for routers that have not received them,
+     *     unless this router has done so a short time ago
      * @param nowNanos current time
      * @return news
      */
@@ -231,10 +317,9 @@
         Duration repeatInterval = REPEAT_INTERVAL_PER_ROUTER.multipliedBy(routers.getAsInt());
         if (all && nowNanos - repeatedNanos >= repeatInterval.toNanos()) {
             repeatedNanos = nowNanos;
-            for (Entry entry : entries.values()) {
-                evidence.crashesOf(entry.culprit, REPEATED_CRASHES)
-                        .forEach((report, time) -> crashes.put(report, age(time, nowNanos)));
-            }
+            repeatedParts()
+                    .forEach(parts -> evidence.crashesOf(parts, REPEATED_CRASHES)
+                            .forEach((report, time) -> crashes.put(report, age(time, nowNanos))));
         }
         crashesToSend.forEach((report, outgoing) -> crashes.put(report, age(outgoing.eventNanos, nowNanos)));
         Map<PartKey, Duration> answers = new HashMap<>();
@@ -243,7 +328,13 @@
                 .forEach(part -> evidence.answerNanos(part).ifPresent(time -> answers.put(part, age(time, nowNanos))));
         countSent(crashesToSend);
         countSent(answersToSend);
-        return new QuarantineNews(crashes, answers);
+        return new QuarantineNews(crashes, answers, claims.takeNews(all));
+    }
+
+    private List<Set<PartKey>> repeatedParts() {
+        List<Set<PartKey>> repeated = new ArrayList<>(entries.keySet());
+        exposureLimited.stream().limit(MAX_REPEATED_PARTS).map(Set::of).forEach(repeated::add);
+        return repeated;
     }
 
     /**
@@ -252,7 +343,7 @@
      * @return true if {@link #takeNews} has something new
      */
     public boolean hasNews() {
-        return !crashesToSend.isEmpty() || !answersToSend.isEmpty();
+        return !crashesToSend.isEmpty() || !answersToSend.isEmpty() || claims.hasNews();
     }
 
     /**
@@ -284,6 +375,7 @@
     private void evaluate(long nowNanos) {
         evaluatedNanos = nowNanos;
         suspects = evidence.suspects();
+        exposureLimited = suspects.isEmpty() ? Set.of() : evidence.exposureLimited();
         List<Culprit> culprits = suspects.isEmpty() ? List.of() : evidence.culprits(nowNanos);
         Set<Set<PartKey>> current = new HashSet<>();
         for (Culprit culprit : culprits) {
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/PartQuarantineTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/PartQuarantineTest.java
@@ -66,7 +66,7 @@
 
     @Test
     void newsEndsAfterSomeRepetitions() {
-        crashTwice();
+        router.recordCrash(report(DEADLY), now);
         for (int i = 0; i < 4; i++) {
             assertTrue(router.hasNews());
             router.takeNews(false, now);
@@ -86,6 +86,28 @@
         assertTrue(peer.check(REQUEST, now).isPresent());
     }
 
+    @Test
+    void routerThatJoinsLearnsThatExposureIsLimited() {
+        crashTwice();
+        for (int i = 0; i < 10; i++) {
+            router.takeNews(false, now);
+        }
+        advance(Duration.ofSeconds(30));
+        peer.receive(router.takeNews(true, now), now);
+        assertFalse(peer.tryProbe(1, REQUEST, now));
+    }
+
+    @Test
+    void crashesOfAPartWithLimitedExposureAreRepeatedAtIntervals() {
+        crashTwice();
+        for (int i = 0; i < 10; i++) {
+            router.takeNews(true, now);
+        }
+        assertTrue(router.takeNews(true, now).isEmpty());
+        advance(Duration.ofMillis(200));
+        assertFalse(router.takeNews(true, now).isEmpty());
+    }
+
     @Test
     void quarantineIsRepeatedAtIntervals() {
         quarantine();
@@ -152,7 +174,9 @@
         for (int i = 0; i < 5; i++) {
             peer.receive(
                     new QuarantineNews(
-                            Map.of(report(DEADLY), Duration.ofDays(1)), Map.of(SOUND, Duration.ofSeconds(-1))),
+                            Map.of(report(DEADLY), Duration.ofDays(1)),
+                            Map.of(SOUND, Duration.ofSeconds(-1)),
+                            List.of()),
                     now);
         }
         assertTrue(peer.check(REQUEST, now).isEmpty());
@@ -162,7 +186,7 @@
     @Test
     void falseReportsDoNotOutlastAnAnswer() {
         for (int i = 0; i < 10; i++) {
-            peer.receive(new QuarantineNews(Map.of(report(SOUND), Duration.ZERO), Map.of()), now);
+            peer.receive(new QuarantineNews(Map.of(report(SOUND), Duration.ZERO), Map.of(), List.of()), now);
         }
         advance(Duration.ofMillis(50));
         peer.recordAnswer(Set.of(SOUND), now);
--- a/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ForwardingContext.java
@@ -91,6 +91,7 @@
     private final ByteBudget responseBudget;
     private final ByteBudget requestBudget;
     private final PartQuarantine quarantine;
+    private final ProbeQueue probeQueue;
     private final CrashDetector crashDetector;
     private final ResponseRecorder responseRecorder;
     private Optional<RolloutController> rollouts = Optional.empty();
@@ -157,6 +158,9 @@
                 () -> peers.members().size(),
                 new SplittableRandom());
         metrics.gauge("coltsfootquay_quarantined_parts", quarantine::size);
+        metrics.gauge("coltsfootquay_exposure_limited_parts", quarantine::exposureLimitedParts);
+        this.probeQueue = new ProbeQueue(timers);
+        metrics.gauge("coltsfootquay_requests_waiting_for_probes", probeQueue::size);
         this.crashDetector = new CrashDetector(connectionPool, health, quarantine, timers, metrics);
         this.eligibleServerSelector = new EligibleServerSelector(
                 registry, health, notices, new ColdStartLimiter(self), limits.coldOvershoot(), limits.coldSlack());
@@ -493,6 +497,11 @@
         return quarantine;
     }
 
+    /** Returns the requests that wait because their prompts have suspected parts. */
+    ProbeQueue probeQueue() {
+        return probeQueue;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/HedgedSend.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/HedgedSend.java
@@ -204,8 +204,7 @@
     }
 
     private void late() {
-        Optional<SelectedServer> choice = HedgeDecision.decide(
-                context, relayed, triedServers, promptParts.rejection().isPresent());
+        Optional<SelectedServer> choice = HedgeDecision.decide(context, relayed, triedServers, !promptParts.mayHedge());
         if (choice.isEmpty()) {
             state = State.ENDED;
             return;
@@ -234,7 +233,7 @@
             return;
         }
         if (!opened.isOpen()
-                || promptParts.rejection().isPresent()
+                || !promptParts.mayHedge()
                 || !context.eligibleServerSelector()
                         .tryAcquire(target, service, context.peers().members(), now())) {
             context.connectionPool().release(opened);
--- a/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -26,6 +26,9 @@
     /** The shared parts and the last one. */
     private final Set<PartKey> parts;
 
+    /** Number of the next send among those of all routers. */
+    private long probe;
+
     private long sentNanos;
     private boolean answering;
     private boolean answered;
@@ -40,6 +43,7 @@
         if (!request.prompt().parts().isEmpty()) {
             parts.add(lastPart);
         }
+        this.probe = quarantine.newProbe();
     }
 
     /** Returns why the request must not be sent, or empty if it may be. */
@@ -47,12 +51,29 @@
         return quarantine.check(parts, timers.nowNanos());
     }
 
+    /** Returns whether the request may be sent without a second one with the same suspected part at any server. */
+    boolean maySend() {
+        return quarantine.tryProbe(probe, sharedParts, timers.nowNanos());
+    }
+
+    /** Returns whether the request may be sent to a second server at the same time. */
+    boolean mayHedge() {
+        return rejection().isEmpty() && !quarantine.isExposureLimited(sharedParts);
+    }
+
     /** Records that the request is sent to a server. */
     void sent() {
         answering = false;
         answered = false;
         sentNanos = timers.nowNanos();
         quarantine.recordSent(parts, sentNanos);
+        quarantine.probeSent(probe, sentNanos);
+    }
+
+    /** Records that the request is not, or no longer, at a server. */
+    void sendEnded() {
+        quarantine.probeEnded(probe);
+        probe = quarantine.newProbe();
     }
 
     /** Records that an event of the response was received. */
@@ -87,6 +108,7 @@
             answered = true;
             quarantine.recordAnswer(sharedParts, timers.nowNanos());
             quarantine.recordAnswer(lastPart, timers.nowNanos());
+            sendEnded();
         }
     }
 }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -113,6 +113,10 @@
                 rejection.settled());
     }
 
+    void waitingForProbe() {
+        LOG.info("request_waits_for_probe", "request", requestId);
+    }
+
     void unreachable(ServerName server, String reason) {
         LOG.warn("server_unreachable", "request", requestId, "server", server, "reason", reason);
     }
--- a/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RequestRelay.java
@@ -62,6 +62,7 @@
     private Reservation reservation;
     private final RequestAdmission admission;
     private PromptPartTracker promptParts;
+    private final ProbeWait probeWait;
     private final HedgedSend hedge;
     private final ResponseTimer responseTimer;
     private final Set<ServerName> triedServers = new HashSet<>();
@@ -76,14 +77,13 @@
     private String streamMediaType;
     private int acquireFailures;
     private int sends;
-    /** Number of sends that a server may have executed: those not reported as not executed. */
-    private int unresolvedSends;
-
     private boolean checkedState;
     private boolean streaming;
     private boolean done;
     private long firstEventNanos;
     private long sentNanos;
+    /** Number of sends that a server may have executed: those not reported as not executed. */
+    private int unresolvedSends;
 
     RequestRelay(
             ForwardingContext context,
@@ -119,6 +119,7 @@
                 this::fail);
         this.promptParts =
                 new PromptPartTracker(context.quarantine(), context.timers(), service.name(), requestMetadata);
+        this.probeWait = new ProbeWait(context, log, () -> promptParts, this::trySend, this::fail);
         RelayedRequest relayed = new RelayedRequest(request, requestMetadata, route, workspace, service, deadlineNanos);
         this.hedge = new HedgedSend(context, this, relayed, log, admission, triedServers);
     }
@@ -172,6 +173,9 @@
             fail(STOPPING, Duration.ZERO);
             return;
         }
+        if (probeWait.defer()) {
+            return;
+        }
         reservation.reserve(selectedServer, requestMetadata.prompt());
         BackendEntry target = selectedServer.entry();
         context.connectionPool().acquire(target, this::send, reason -> connectFailed(target, reason));
@@ -261,8 +265,9 @@
             connectFailed(target, "closed before use");
             return;
         }
-        if (rejectIfQuarantined()) {
+        if (rejectIfQuarantined() || probeWait.defer()) {
             context.connectionPool().release(serverConnection);
+            reservation.release();
             return;
         }
         long now = now();
@@ -547,6 +552,7 @@
     }
 
     private void retry(String cause) {
+        probeWait.sendEnded();
         reservation.release();
         releaseResponse();
         if (eventSplitter != null) {
@@ -602,6 +608,7 @@
             deadlineTimer.cancel();
         }
         responseTimer.cancel();
+        probeWait.sendEnded();
         if (connection != null) {
             connection.discard();
             connection = null;
@@ -679,6 +686,7 @@
         connection = winner.connection();
         sentConnection = connection;
         reservation = winner.reservation();
+        promptParts.sendEnded();
         promptParts = winner.promptParts();
         sentNanos = winner.sentNanos();
         response = new ReceivedResponse(context.responseBudget().open(service.name(), this::responseEvicted));
--- a/router/src/main/java/org/coltsfootquay/router/node/BeaconSplitter.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/BeaconSplitter.java
@@ -10,14 +10,15 @@
 import org.coltsfootquay.protocol.generated.peer.BeaconCrash;
 import org.coltsfootquay.protocol.generated.peer.BeaconDemand;
 import org.coltsfootquay.protocol.generated.peer.BeaconLoad;
+import org.coltsfootquay.protocol.generated.peer.BeaconProbe;
 import org.coltsfootquay.protocol.generated.peer.BeaconRead;
 import org.coltsfootquay.protocol.generated.peer.BeaconRollout;
 
 /**
  * Splits beacons into messages that fit into one datagram each; not thread-safe.
  *
- * <p>Entries are taken in the order of their importance: crashes and answers, loads, prompt parts, demands. What does
- * not fit into the maximum number of datagrams is omitted.
+ * <p>Entries are taken in the order of their importance: crashes, answers and probes, loads, prompt parts, demands.
+ * What does not fit into the maximum number of datagrams is omitted.
  */
 final class BeaconSplitter {
 
@@ -57,6 +58,9 @@
         for (BeaconAnswer answer : content.getAnswersList()) {
             splitter.add(Beacon.ANSWERS_FIELD_NUMBER, answer, Beacon.Builder::addAnswers);
         }
+        for (BeaconProbe probe : content.getProbesList()) {
+            splitter.add(Beacon.PROBES_FIELD_NUMBER, probe, Beacon.Builder::addProbes);
+        }
         for (BeaconRollout rollout : content.getRolloutsList()) {
             splitter.add(Beacon.ROLLOUTS_FIELD_NUMBER, rollout, Beacon.Builder::addRollouts);
         }
--- a/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
+++ b/router/src/main/java/org/coltsfootquay/router/node/QuarantineNewsCodec.java
@@ -5,14 +5,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.quarantine.CrashReport;
 import org.coltsfootquay.decision.quarantine.PartKey;
+import org.coltsfootquay.decision.quarantine.ProbeClaim;
 import org.coltsfootquay.decision.quarantine.QuarantineNews;
 import org.coltsfootquay.decision.quarantine.UnansweredPart;
 import org.coltsfootquay.protocol.generated.peer.Beacon;
 import org.coltsfootquay.protocol.generated.peer.BeaconAnswer;
 import org.coltsfootquay.protocol.generated.peer.BeaconCrash;
+import org.coltsfootquay.protocol.generated.peer.BeaconProbe;
 
 /** Converts news about crashes to and from the fields of beacons. */
 final class QuarantineNewsCodec {
@@ -31,6 +34,21 @@
         news.answers()
                 .forEach((part, age) -> beacon.addAnswers(
                         BeaconAnswer.newBuilder().setPart(part.hash()).setAgeMillis(age.toMillis())));
+        news.claims().forEach(claim -> addClaim(beacon, claim));
+    }
+
+    /** Adds a claim, in several entries if it has many parts; a receiver combines them. */
+    private static void addClaim(Beacon.Builder beacon, ProbeClaim claim) {
+        List<PartKey> parts = List.copyOf(claim.parts());
+        for (int from = 0; from < parts.size(); from += MAX_PARTS_PER_ENTRY) {
+            BeaconProbe.Builder probe = BeaconProbe.newBuilder()
+                    .setId(claim.id())
+                    .setSent(claim.state() == ProbeClaim.State.SENT)
+                    .setEnded(claim.state() == ProbeClaim.State.ENDED);
+            parts.subList(from, Math.min(from + MAX_PARTS_PER_ENTRY, parts.size()))
+                    .forEach(part -> probe.addParts(part.hash()));
+            beacon.addProbes(probe);
+        }
     }
 
     /** Adds a crash, in several entries if it has many parts; a receiver combines them. */
@@ -75,7 +93,20 @@
         for (BeaconAnswer answer : beacon.getAnswersList()) {
             answers.put(new PartKey(answer.getPart()), age(answer.getAgeMillis()));
         }
-        return new QuarantineNews(crashes, answers);
+        List<ProbeClaim> claims = beacon.getProbesList().stream()
+                .map(probe -> new ProbeClaim(
+                        probe.getId(),
+                        probe.getPartsList().stream().map(PartKey::new).collect(Collectors.toSet()),
+                        state(probe)))
+                .toList();
+        return new QuarantineNews(crashes, answers, claims);
+    }
+
+    private static ProbeClaim.State state(BeaconProbe probe) {
+        if (probe.getEnded()) {
+            return ProbeClaim.State.ENDED;
+        }
+        return probe.getSent() ? ProbeClaim.State.SENT : ProbeClaim.State.ANNOUNCED;
     }
 
     private static Duration age(long millis) {
--- a/router/src/test/java/org/coltsfootquay/router/forward/CrashingPromptPartTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/forward/CrashingPromptPartTest.java
@@ -25,6 +25,8 @@
 
     private static final int ENGINES = 8;
 
+    private static final int BATCH_SIZE = 4;
+
     /** Crashes after which a part is quarantined. */
     private static final int CRASHES_UNTIL_PROOF = 3;
 
@@ -143,6 +145,69 @@
         }
     }
 
+    /** Requests that came together crashed a server each, and so did those of the next batches. */
+    @Test
+    void batchesOfRequestsCrashNoMoreServersThanSingleOnes() throws Exception {
+        sendTogether("batch-1");
+        int crashesOfFirstBatch = crashes.get();
+        for (int i = 0; i < ENGINES; i++) {
+            startEngine();
+        }
+        sendTogether("batch-2");
+        sendTogether("batch-3");
+        int later = crashes.get() - crashesOfFirstBatch;
+        assertTrue(later < CRASHES_UNTIL_PROOF, later + " crashes after " + crashesOfFirstBatch);
+    }
+
+    /** Requests that wait for the answer to another one must be sent once it has come. */
+    @Test
+    void soundRequestsThatComeTogetherAfterSeveralCrashesAreServed() throws Exception {
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < 2 * ENGINES; i++) {
+            String parts = "shared,held-" + i;
+            callers.add(new Thread(() -> sendIgnoringResponse(parts)));
+        }
+        callers.forEach(Thread::start);
+        awaitHeldRequests(2 * ENGINES);
+        for (ScriptedServer engine : engines) {
+            engine.crash();
+        }
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        for (int i = 0; i < ENGINES; i++) {
+            startEngine();
+        }
+        for (String response : sendTogether("shared", "after")) {
+            assertServed(response);
+        }
+    }
+
+    private void sendTogether(String name) throws Exception {
+        List<String> unused = sendTogether("deadly", name);
+    }
+
+    /** Sends some requests at the same time and returns the responses; an empty one if the connection was closed. */
+    private List<String> sendTogether(String part, String name) throws Exception {
+        List<String> responses = new CopyOnWriteArrayList<>();
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < BATCH_SIZE; i++) {
+            String parts = part + "," + name + "-" + i;
+            callers.add(new Thread(() -> {
+                try {
+                    responses.add(send(parts));
+                } catch (IOException e) {
+                    responses.add("");
+                }
+            }));
+        }
+        callers.forEach(Thread::start);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        return responses;
+    }
+
     private void awaitHeldRequests(int count) throws InterruptedException {
         long end = System.nanoTime() + Duration.ofSeconds(5).toNanos();
         while (held.get() < count && System.nanoTime() < end) {
--- a/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
+++ b/router/src/test/java/org/coltsfootquay/router/node/BeaconExchangeTest.java
@@ -184,6 +184,34 @@
         assertTrue(receiver.isQuarantined());
     }
 
+    /** Each router of a fleet let a request with a suspected part through. */
+    @Test
+    void requestWithASuspectedPartIsSentByOneRouter() {
+        receiver.peers.recordBeacon(sender.self, true, 0);
+        sender.crash("s1", 1);
+        sender.crash("s2", 2);
+        sender.exchange.send(sender::capture);
+        receiver.receiveAll(sender);
+        sender.tryProbe(2);
+        receiver.tryProbe(1);
+        timers.advance(timers.nowNanos() + Duration.ofMillis(20).toNanos());
+        assertFalse(sender.tryProbe(2));
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        assertFalse(receiver.tryProbe(1));
+        timers.advance(timers.nowNanos() + Duration.ofMillis(300).toNanos());
+        assertTrue(sender.tryProbe(2));
+        sender.forwarding.quarantine().probeSent(2, timers.nowNanos());
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        timers.advance(timers.nowNanos() + Duration.ofMillis(300).toNanos());
+        assertFalse(receiver.tryProbe(1));
+        sender.forwarding.quarantine().recordAnswer(Set.of(PART), timers.nowNanos());
+        sender.exchange.sendUpdate(sender::capture);
+        receiver.receiveAll(sender);
+        assertTrue(receiver.tryProbe(1));
+    }
+
     @Test
     void routerThatStartsLearnsAQuarantineFromTheNextBeacon() {
         for (int i = 0; i < 3; i++) {
@@ -392,6 +420,10 @@
                     .getCount();
         }
 
+        private boolean tryProbe(long request) {
+            return forwarding.quarantine().tryProbe(request, Set.of(PART), timers.nowNanos());
+        }
+
         private boolean isQuarantined() {
             return forwarding
                     .quarantine()
