Require four successive crashes in place of five of a part that was answered before

Callers saw: a part that was answered before and begins to crash engines, for example after a change of the engines, reaches engines once more than permitted if requests with it come in batches.

Cause: five successive crashes were required. The first batch counts once, so that with limited exposure four more requests had to crash an engine each.

Change: four successive crashes. From the second crash on they are those of requests that were alone at an engine with the part, which chance produces less often than five crashes of any requests.

Evidence: batchesOfRequestsWithAPartThatWasAnsweredBeforeEnd fails with five (4 late requests) and passes with four.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -44,7 +44,7 @@
      * Successive crashes that prove a part which was answered before; it can have become harmful only by a change of
      * the servers.
      */
-    static final int REQUIRED_CRASHES_IN_DOUBT = 5;
+    static final int REQUIRED_CRASHES_IN_DOUBT = 4;
 
     /** Different requests that must be needed to explain the crashes of such a part. */
     static final int REQUIRED_REQUESTS_IN_DOUBT = 3;
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/QuarantineFleetTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/QuarantineFleetTest.java
@@ -64,6 +64,27 @@
         assertFewRejections(fleet);
     }
 
+    /** A part that was answered before needs more evidence, and each crash of it cost one more batch. */
+    @Property(tries = 30)
+    void batchesOfRequestsWithAPartThatWasAnsweredBeforeEnd(
+            @ForAll @IntRange(min = 0, max = 1_000_000) int seed,
+            @ForAll @IntRange(min = 2, max = 40) int routers,
+            @ForAll @IntRange(min = 8, max = 24) int servers,
+            @ForAll @IntRange(min = 6, max = 12) int size,
+            @ForAll @IntRange(min = 0, max = 400) int spreadMillis,
+            @ForAll @IntRange(min = 3_500, max = 7_000) int intervalMillis) {
+        QuarantineFleet fleet = new QuarantineFleet(seed, routers, servers, 1)
+                .withSoundRequests()
+                .withPartsAnsweredBefore()
+                .withBatches(size, spreadMillis, intervalMillis, 1);
+        if (seed % 3 == 0) {
+            fleet.withOrdinaryCrashes();
+        }
+        fleet.play();
+        assertFewLateRequests(fleet);
+        assertFewRejections(fleet);
+    }
+
     /** An outage looks like a batch of requests that crash servers, and must not get a sound part rejected. */
     @Property(tries = 60)
     void requestsWithAPartThatAnOutageInterruptedAreServed(
