Let a request with a suspected part be announced beside one whose part is held

Cause: a router kept one time for the announcements of all its requests with suspected parts, and each check of a request whose part another router holds reset it. While such a request waited, no request with another suspected part was announced, so that it could wait in vain. Read in the code; not seen in a run of the product.

Change: the time is kept for each request.

Evidence: ProbeClaimsTest.requestIsAnnouncedBesideOneThatIsHeldUp failed before and passes.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/ProbeClaims.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/ProbeClaims.java
@@ -1,11 +1,11 @@
 package org.coltsfootquay.decision.quarantine;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
@@ -49,8 +49,8 @@
     /** Claims that other routers have to be told of, by their numbers. */
     private final Map<Long, Outgoing> outgoing = new LinkedHashMap<>();
 
-    /** Time from which this router may announce a request; empty while it does not want to. */
-    private OptionalLong announceNanos = OptionalLong.empty();
+    /** Time from which a request whose parts are free may be announced, by its number. */
+    private final Map<Long, Long> announceNanos = new HashMap<>();
 
     /**
      * Creates an instance without claims.
@@ -96,24 +96,24 @@
     /** Announces a request, or returns null while another one holds one of the parts or this router has to wait. */
     private Entry announce(long id, Set<PartKey> parts, long nowNanos) {
         if (entries.size() >= MAX_CLAIMS || entries.values().stream().anyMatch(entry -> entry.sharesPartWith(parts))) {
-            announceNanos = OptionalLong.empty();
+            announceNanos.remove(id);
             return null;
         }
-        if (announceNanos.isEmpty()) {
-            int others = Math.max(0, routers.getAsInt() - 1);
-            long spread = (long) (random.nextDouble() * others * SPREAD_PER_ROUTER.toNanos());
-            announceNanos = OptionalLong.of(nowNanos + spread);
-        }
-        if (nowNanos - announceNanos.getAsLong() < 0) {
+        if (nowNanos - announceNanos.computeIfAbsent(id, key -> nowNanos + randomSpread()) < 0) {
             return null;
         }
-        announceNanos = OptionalLong.empty();
+        announceNanos.remove(id);
         Entry entry = new Entry(id, parts, true, nowNanos);
         entries.put(id, entry);
         tell(entry.claim());
         return entry;
     }
 
+    private long randomSpread() {
+        int others = Math.max(0, routers.getAsInt() - 1);
+        return (long) (random.nextDouble() * others * SPREAD_PER_ROUTER.toNanos());
+    }
+
     /** Returns whether the request of another router goes before one of this router. */
     private boolean isPreceded(Entry own) {
         return entries.values().stream()
@@ -132,6 +132,7 @@
 
     /** Records that a request of this router is not, or no longer, at a server. */
     void end(long id) {
+        announceNanos.remove(id);
         Entry own = entries.remove(id);
         if (own != null) {
             tell(new ProbeClaim(id, own.parts, ProbeClaim.State.ENDED));
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/ProbeClaimsTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/ProbeClaimsTest.java
@@ -123,6 +123,20 @@
         assertTrue(peer.tryAcquire(2, OTHER_PART, now));
     }
 
+    /** Each check of a request that was held up delayed the announcements of all others. */
+    @Test
+    void requestIsAnnouncedBesideOneThatIsHeldUp() {
+        announce(router, 1);
+        exchange();
+        for (int i = 0; i < 3; i++) {
+            peer.tryAcquire(2, PART, now);
+            peer.tryAcquire(3, OTHER_PART, now);
+            advance(Duration.ofMillis(4));
+        }
+        advance(CONTENTION);
+        assertTrue(peer.tryAcquire(3, OTHER_PART, now));
+    }
+
     @Test
     void claimsAreRepeatedWhileTheRequestIsAtAServer() {
         announce(router, 1);
