Stop to repeat a probe to other routers once its time is over

Cause: a request with a suspected part that is neither answered nor crashes its server may hold up others for 10 s. Its router went on repeating it in each beacon after that, and the other routers, which had dropped it, took it for a new one, so that it held up theirs until it ended.

Change: a router drops its own requests past their time before it tells of them. The parts that are kept for a request of another router are bounded.

Evidence: ProbeClaimsTest.requestPastItsTimeIsNotRepeatedToOtherRouters failed before and passes. Times in that test have names.

--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/PartQuarantine.java
@@ -328,7 +328,7 @@
                 .forEach(part -> evidence.answerNanos(part).ifPresent(time -> answers.put(part, age(time, nowNanos))));
         countSent(crashesToSend);
         countSent(answersToSend);
-        return new QuarantineNews(crashes, answers, claims.takeNews(all));
+        return new QuarantineNews(crashes, answers, claims.takeNews(all, nowNanos));
     }
 
     private List<Set<PartKey>> repeatedParts() {
--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/ProbeClaims.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/ProbeClaims.java
@@ -32,15 +32,16 @@
     private static final Duration SPREAD_PER_ROUTER = Duration.ofMillis(5);
 
     /** Time without a repetition after which the request of another router no longer counts; several beacon periods. */
-    private static final Duration LAPSE_TIME = Duration.ofSeconds(3);
+    static final Duration LAPSE_TIME = Duration.ofSeconds(3);
 
     /** Time after which a request that has neither been answered nor crashed a server holds up others no longer. */
-    private static final Duration MAX_PROBE_TIME = Duration.ofSeconds(10);
+    static final Duration MAX_PROBE_TIME = Duration.ofSeconds(10);
 
     /** Messages in which each claim is repeated, since datagrams get lost. */
     private static final int REPETITIONS = 4;
 
     private static final int MAX_CLAIMS = 256;
+    private static final int MAX_PARTS_PER_CLAIM = 128;
 
     private final IntSupplier routers;
     private final RandomGenerator random;
@@ -159,10 +160,10 @@
             if (entries.size() >= MAX_CLAIMS) {
                 return;
             }
-            known = new Entry(claim.id(), claim.parts(), false, nowNanos);
+            known = new Entry(claim.id(), Set.of(), false, nowNanos);
             entries.put(claim.id(), known);
         }
-        known.parts.addAll(claim.parts());
+        claim.parts().stream().limit(MAX_PARTS_PER_CLAIM - known.parts.size()).forEach(known.parts::add);
         known.heardNanos = nowNanos;
         if (!known.sent && claim.state() == ProbeClaim.State.SENT) {
             known.sent = true;
@@ -198,8 +199,11 @@
      * Returns what other routers have to be told.
      *
      * @param all true to repeat the requests of this router that were not announced anew
+     * @param nowNanos current time
      */
-    List<ProbeClaim> takeNews(boolean all) {
+    List<ProbeClaim> takeNews(boolean all, long nowNanos) {
+        // Other routers would take the repetition of a request past its time for a new one.
+        removeLapsed(nowNanos);
         if (all) {
             entries.values().stream()
                     .filter(entry -> entry.own)
@@ -227,6 +231,9 @@
                     ? age > MAX_PROBE_TIME.toNanos() || (!entry.own && silence > LAPSE_TIME.toNanos())
                     : silence > announcedLapse;
         });
+        outgoing.values()
+                .removeIf(entry ->
+                        entry.claim.state() != ProbeClaim.State.ENDED && !entries.containsKey(entry.claim.id()));
     }
 
     /** Claim that is sent several times. */
--- a/decision/src/test/java/org/coltsfootquay/decision/quarantine/ProbeClaimsTest.java
+++ b/decision/src/test/java/org/coltsfootquay/decision/quarantine/ProbeClaimsTest.java
@@ -10,13 +10,23 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** Guards against several requests with the same suspected part at servers, and against parts that nobody may try. */
+/** Guards against suspected parts that several requests have at servers at a time, or that none may ever have there. */
 final class ProbeClaimsTest {
 
     private static final Set<PartKey> PART = Set.of(new PartKey(1));
     private static final Set<PartKey> OTHER_PART = Set.of(new PartKey(2));
+
+    /** More than the contention time of two routers. */
     private static final Duration CONTENTION = Duration.ofMillis(300);
 
+    /** More than the time over which two routers spread their announcements. */
+    private static final Duration ANNOUNCEMENT_DELAY = Duration.ofMillis(10);
+
+    /** Time between two checks of waiting requests, less than {@link #ANNOUNCEMENT_DELAY}. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(4);
+
+    private static final Duration BEACON_PERIOD = Duration.ofSeconds(1);
+
     private final ProbeClaims router = new ProbeClaims(() -> 2, new Random(1));
     private final ProbeClaims peer = new ProbeClaims(() -> 2, new Random(2));
     private long now = Duration.ofHours(1).toNanos();
@@ -81,11 +91,11 @@
         advance(CONTENTION);
         router.sent(1, now);
         exchange();
-        advance(Duration.ofSeconds(2));
+        advance(ProbeClaims.LAPSE_TIME);
         assertFalse(peer.tryAcquire(2, PART, now));
-        advance(Duration.ofMillis(1_100));
+        advance(ANNOUNCEMENT_DELAY);
         announce(peer, 2);
-        assertEquals(2, peer.takeNews(false).get(0).id());
+        assertEquals(2, peer.takeNews(false, now).get(0).id());
     }
 
     @Test
@@ -105,13 +115,25 @@
         announce(router, 1);
         advance(CONTENTION);
         router.sent(1, now);
-        for (int i = 0; i < 11; i++) {
-            exchange();
-            advance(Duration.ofSeconds(1));
-        }
+        exchangeUntilProbeTimeIsOver();
         announce(peer, 2);
         assertEquals(
-                List.of(2L), peer.takeNews(false).stream().map(ProbeClaim::id).toList());
+                List.of(2L),
+                peer.takeNews(false, now).stream().map(ProbeClaim::id).toList());
+    }
+
+    /** A router repeated such a request in each beacon, so that the others took it for a new one. */
+    @Test
+    void requestPastItsTimeIsNotRepeatedToOtherRouters() {
+        announce(router, 1);
+        advance(CONTENTION);
+        router.sent(1, now);
+        exchangeUntilProbeTimeIsOver();
+        exchange();
+        announce(peer, 2);
+        exchange();
+        advance(CONTENTION);
+        assertTrue(peer.tryAcquire(2, PART, now));
     }
 
     @Test
@@ -131,7 +153,7 @@
         for (int i = 0; i < 3; i++) {
             peer.tryAcquire(2, PART, now);
             peer.tryAcquire(3, OTHER_PART, now);
-            advance(Duration.ofMillis(4));
+            advance(CHECK_INTERVAL);
         }
         advance(CONTENTION);
         assertTrue(peer.tryAcquire(3, OTHER_PART, now));
@@ -142,14 +164,14 @@
         announce(router, 1);
         router.sent(1, now);
         for (int i = 0; i < 10; i++) {
-            router.takeNews(true);
+            router.takeNews(true, now);
         }
-        assertEquals(ProbeClaim.State.SENT, router.takeNews(true).get(0).state());
+        assertEquals(ProbeClaim.State.SENT, router.takeNews(true, now).get(0).state());
         router.end(1);
         for (int i = 0; i < 10; i++) {
-            router.takeNews(true);
+            router.takeNews(true, now);
         }
-        assertEquals(List.of(), router.takeNews(true));
+        assertEquals(List.of(), router.takeNews(true, now));
     }
 
     private void announce(ProbeClaims claims, long id) {
@@ -159,13 +181,20 @@
     /** Asks until the request is announced, which routers delay by a random time. */
     private void announce(ProbeClaims claims, long id, Set<PartKey> parts) {
         claims.tryAcquire(id, parts, now);
-        advance(Duration.ofMillis(10));
+        advance(ANNOUNCEMENT_DELAY);
         claims.tryAcquire(id, parts, now);
     }
 
+    private void exchangeUntilProbeTimeIsOver() {
+        for (long age = 0; age <= ProbeClaims.MAX_PROBE_TIME.toSeconds(); age += BEACON_PERIOD.toSeconds()) {
+            exchange();
+            advance(BEACON_PERIOD);
+        }
+    }
+
     private void exchange() {
-        router.takeNews(true).forEach(claim -> peer.receive(claim, now));
-        peer.takeNews(true).forEach(claim -> router.receive(claim, now));
+        router.takeNews(true, now).forEach(claim -> peer.receive(claim, now));
+        peer.takeNews(true, now).forEach(claim -> router.receive(claim, now));
     }
 
     private void advance(Duration time) {
