--- a/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
+++ b/decision/src/main/java/org/coltsfootquay/decision/quarantine/CrashEvidence.java
@@ -28,7 +28,7 @@
  */
 final class CrashEvidence {
 
-    /** Crashes without an answer in between, simultaneous or not, from which one request at a time may have a part. */
+    /** Crashes without an answer since, simultaneous or not, after which only one request at a time may have a part. */
     static final int CRASHES_BEFORE_EXPOSURE_LIMIT = 2;
 
     /** Crashes without an answer in between that prove a request. */
--- a/router/src/main/java/org/coltsfootquay/router/forward/ProbeWait.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/ProbeWait.java
@@ -53,7 +53,7 @@
             waited = true;
             sinceNanos = context.timers().nowNanos();
             context.metrics().count("coltsfootquay_probe_waits_total");
-            log.waitingForProbe();
+            log.waitingForProbe(parts.get().sharedParts());
         }
         context.probeQueue().add(check);
         return true;
--- a/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/PromptPartTracker.java
@@ -46,6 +46,10 @@
         this.probe = quarantine.newProbe();
     }
 
+    Set<PartKey> sharedParts() {
+        return sharedParts;
+    }
+
     /** Returns why the request must not be sent, or empty if it may be. */
     Optional<Rejection> rejection() {
         return quarantine.check(parts, timers.nowNanos());
--- a/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
+++ b/router/src/main/java/org/coltsfootquay/router/forward/RelayLog.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.coltsfootquay.decision.admission.AdmissionDecision;
 import org.coltsfootquay.decision.admission.AdmissionDecision.Reason;
 import org.coltsfootquay.decision.common.ServerName;
 import org.coltsfootquay.decision.common.WorkspaceId;
+import org.coltsfootquay.decision.quarantine.PartKey;
 import org.coltsfootquay.decision.quarantine.Rejection;
 import org.coltsfootquay.decision.route.Route;
 import org.coltsfootquay.decision.selection.Prompt;
@@ -113,8 +115,8 @@
                 rejection.settled());
     }
 
-    void waitingForProbe() {
-        LOG.info("request_waits_for_probe", "request", requestId);
+    void waitingForProbe(Set<PartKey> parts) {
+        LOG.info("request_waits_for_probe", "request", requestId, "parts", parts);
     }
 
     void unreachable(ServerName server, String reason) {
