--- a/review/run-case-3.sh
+++ b/review/run-case-3.sh
@@ -23,11 +23,8 @@
 trap 'exit 2' INT TERM HUP
 java -Xmx512m -cp review/standins-3/target -Dcase.folder="$work" "$2" "$case_folder/record.txt" &
 driver=$!
-( sleep 115 & wait $!; kill -KILL "$driver" 2>/dev/null ) &
-watchdog=$!
 wait "$driver"
 result=$?
 driver=
-kill "$watchdog" 2>/dev/null
 [ "$result" -eq 0 ] || [ "$result" -eq 1 ] || result=2
 exit "$result"
--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -18,6 +18,9 @@
     static final String KEY = "key-of-tenant-1";
     static final String HOST = "host1.example";
 
+    /** Time after which a case is given up; it may run for 120 s. */
+    private static final int MAX_SECONDS = 110;
+
     /** Lines of the settings template that stand for a list of seeds, or for a value that may be absent. */
     private static final Pattern SECTION = Pattern.compile("\\{\\{#([A-Za-z.]+)}}(.*?)\\{\\{/\\1}}", Pattern.DOTALL);
 
@@ -38,6 +41,11 @@
         record = new PrintStream(Files.newOutputStream(recordFile), true, StandardCharsets.UTF_8);
         folder = Path.of(System.getProperty("case.folder"));
         store = new Store(ip(1));
+        Threads.start("time limit", () -> {
+            TimeUnit.SECONDS.sleep(MAX_SECONDS);
+            record("the case has taken too long");
+            System.exit(2);
+        });
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
     }
 
@@ -127,6 +135,15 @@
         store.put("servers", id, Json.write(entry));
     }
 
+    /** Registers a stand-in process once it has told its port. */
+    void registerStandIn(String id, String service, String ip) throws IOException, InterruptedException {
+        Path port = folder.resolve(id + ".port");
+        for (int i = 0; i < 200 && !Files.exists(port); i++) {
+            Thread.sleep(50);
+        }
+        register(id, service, ip + ":" + Files.readString(port), System.currentTimeMillis(), "ready");
+    }
+
     /** Starts a router with the command and the settings of the deploy file. */
     Process startRouter(int number, boolean firstStart) throws IOException {
         Path settings = folder.resolve("router-" + number + ".json");
--- a/review/standins-3/ModelServer.java
+++ b/review/standins-3/ModelServer.java
@@ -9,8 +9,9 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * Model server as a process of its own: streams events with increasing ids. A path that ends with "long" gets large
- * events in chunks, any other small events without length that end with the connection.
+ * Model server as a process of its own: streams events with increasing ids. A path that ends with "long" gets many
+ * events in chunks, one that ends with "large" large events in two parts each, any other small events without length
+ * that end with the connection.
  */
 public final class ModelServer {
 
@@ -22,6 +23,12 @@
 
     private static final int LONG_EVENT_BYTES = 16 << 10;
 
+    /** Number, size and interval of the events of an answer with large events. */
+    static final int LARGE_EVENTS = 25;
+
+    private static final int LARGE_EVENT_BYTES = 48 << 10;
+    private static final int LARGE_EVENT_MILLIS = 200;
+
     private final String id;
 
     private ModelServer(String id) {
@@ -57,7 +64,9 @@
                 log(request);
                 String last = request.header(Wire.header("lastEvent"));
                 int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-                if (request.target().endsWith("long")) {
+                if (request.target().endsWith("large")) {
+                    streamLarge(out, request, next);
+                } else if (request.target().endsWith("long")) {
                     streamLong(out, request, next);
                 } else {
                     stream(out, request, next);
@@ -84,6 +93,21 @@
         write(out, "0\r\n\r\n");
     }
 
+    /** Sends each event in two parts; the second one together with the first part of the next event. */
+    private void streamLarge(OutputStream out, Message request, int next) throws Exception {
+        write(out, head("200 OK", request) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        String rest = "";
+        for (int number = next; number <= LARGE_EVENTS; number++) {
+            String event = "id: " + number + "\ndata: " + "x".repeat(LARGE_EVENT_BYTES) + "\n\n";
+            int part = event.length() * 3 / 4;
+            String bytes = rest + event.substring(0, part);
+            write(out, Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n");
+            rest = event.substring(part);
+            Thread.sleep(LARGE_EVENT_MILLIS);
+        }
+        write(out, Integer.toHexString(rest.length()) + "\r\n" + rest + "\r\n0\r\n\r\n");
+    }
+
     private String head(String status, Message request) {
         return "HTTP/1.1 " + status + "\r\n" + Wire.header("id") + ": " + request.header(Wire.header("id")) + "\r\n"
                 + Wire.header("instance") + ": " + id + "\r\n"
--- a/review/standins-3/StreamOfCrashedServer.java
+++ b/review/standins-3/StreamOfCrashedServer.java
@@ -28,7 +28,7 @@
     private static int run(Fleet fleet, boolean trouble, boolean slowCaller) throws Exception {
         fleet.configure(Fleet.usualLimits());
         Process first = fleet.startStandIn("ModelServer", "server-1", fleet.ip(101));
-        register(fleet, "server-1", 101);
+        fleet.registerStandIn("server-1", "model", fleet.ip(101));
         fleet.startRouter(1, true);
         if (!fleet.awaitReady(1, 30_000)) {
             fleet.record("the router did not become ready");
@@ -61,7 +61,7 @@
             fleet.startStandIn("ModelServer", "server-" + number, fleet.ip(100 + number));
         }
         for (int number = 2; number <= SERVERS; number++) {
-            register(fleet, "server-" + number, 100 + number);
+            fleet.registerStandIn("server-" + number, "model", fleet.ip(100 + number));
         }
         Thread.sleep(500);
         if (trouble) {
@@ -103,12 +103,4 @@
         }
         fleet.record("plain-1 " + end.get() + " after event " + last[0]);
     }
-
-    private static void register(Fleet fleet, String id, int number) throws Exception {
-        Path port = fleet.folder.resolve(id + ".port");
-        for (int i = 0; i < 200 && !Files.exists(port); i++) {
-            Thread.sleep(50);
-        }
-        fleet.register(id, "model", fleet.ip(number) + ":" + Files.readString(port), System.currentTimeMillis(), "ready");
-    }
 }
