--- a/review/standins-3/AppServer.java
+++ b/review/standins-3/AppServer.java
@@ -11,6 +11,9 @@
 /** Application server in the process of the case: answers each request at once and counts runs by id. */
 final class AppServer {
 
+    /** Size of an answer to a path that ends with "big". */
+    static final int BIG_ANSWER_BYTES = 3_900_000;
+
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final String id;
     private final ServerSocket listener;
@@ -40,15 +43,15 @@
             for (Message request = Message.read(socket.getInputStream());
                     request != null;
                     request = Message.read(socket.getInputStream())) {
-                String request1 = request.header(Wire.header("id"));
+                String requestId = request.header(Wire.header("id"));
                 boolean own = request.header(Wire.header("expect")).equals(id);
-                String answer = "done " + request1;
+                String answer = "done " + requestId + "x".repeat(request.target().endsWith("big") ? BIG_ANSWER_BYTES : 0);
                 if (own) {
-                    onRun.accept(request, runs.merge(request1, 1, Integer::sum));
+                    onRun.accept(request, runs.merge(requestId, 1, Integer::sum));
                 }
                 OutputStream out = socket.getOutputStream();
                 out.write(((own ? "HTTP/1.1 200 OK" : "HTTP/1.1 421 Misdirected Request") + "\r\n"
-                                + Wire.header("id") + ": " + request1 + "\r\n" + Wire.header("instance") + ": " + id
+                                + Wire.header("id") + ": " + requestId + "\r\n" + Wire.header("instance") + ": " + id
                                 + "\r\n" + Wire.header("seal") + ": seal-" + id + "\r\nContent-Length: "
                                 + answer.length() + "\r\n\r\n" + answer)
                         .getBytes(StandardCharsets.ISO_8859_1));
--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -60,6 +60,11 @@
 
     /** Writes the only configuration: a streaming, a non-idempotent and an idempotent route. */
     void configure(Map<String, Object> limits) {
+        configure(limits, 8_000);
+    }
+
+    /** Writes the configuration with another timeout of the idempotent route. */
+    void configure(Map<String, Object> limits, int lookTimeoutMillis) {
         Map<String, Object> config = new LinkedHashMap<>();
         config.put("Version", configVersion++);
         config.put(
@@ -67,7 +72,7 @@
                 List.of(
                         route("stream", "/stream/", "streaming", "model", 12_000, 800, 2, true),
                         route("book", "/book/", "non_idempotent", "app", 8_000, 100, 1, false),
-                        route("look", "/look/", "idempotent", "app", 8_000, 100, 2, false)));
+                        route("look", "/look/", "idempotent", "app", lookTimeoutMillis, 100, 2, false)));
         Map<String, Object> model = service("model", 360);
         model.put("ColdS", 3.0);
         model.put("ColdPerS", 6.7);
