Add review case 15: crashes by a prompt part are not seen beside slow callers

Cause: a connection that is not read for a slow caller counts as a sign that its server is alive, as in case 12.

--- a/review/standins-3/ModelServer.java
+++ b/review/standins-3/ModelServer.java
@@ -10,8 +10,8 @@
 
 /**
  * Model server as a process of its own: streams events with increasing ids. A path that ends with "long" gets many
- * events in chunks, one that ends with "large" large events in two parts each, any other small events without length
- * that end with the connection.
+ * events in chunks, one that ends with "large" large events in two parts each, one that ends with "short" two
+ * events, any other small events without length that end with the connection.
  */
 public final class ModelServer {
 
@@ -23,6 +23,9 @@
 
     private static final int LONG_EVENT_BYTES = 16 << 10;
 
+    /** Part of a prompt that crashes the server once it begins to write an answer. */
+    static final String DEADLY_PART = "dead01:";
+
     /** Number, size and interval of the events of an answer with large events. */
     static final int LARGE_EVENTS = 25;
 
@@ -62,12 +65,19 @@
                     continue;
                 }
                 log(request);
+                if (request.header(Wire.header("parts")).startsWith(DEADLY_PART)) {
+                    crash(out, request);
+                }
                 String last = request.header(Wire.header("lastEvent"));
                 int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
                 if (request.target().endsWith("large")) {
                     streamLarge(out, request, next);
                 } else if (request.target().endsWith("long")) {
                     streamLong(out, request, next);
+                } else if (request.target().endsWith("short")) {
+                    String events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
+                    write(out, head("200 OK", request) + "Content-Type: text/event-stream\r\nContent-Length: "
+                            + events.length() + "\r\n\r\n" + events);
                 } else {
                     stream(out, request, next);
                     return;
@@ -76,6 +86,14 @@
         }
     }
 
+    private void crash(OutputStream out, Message request) throws IOException {
+        write(out, head("200 OK", request) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        String last = request.header(Wire.header("lastEvent"));
+        String event = "id: " + (last.isEmpty() ? 1 : Integer.parseInt(last) + 1) + "\ndata: x\n\n";
+        write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+        Runtime.getRuntime().halt(1);
+    }
+
     private void stream(OutputStream out, Message request, int next) throws Exception {
         write(out, head("200 OK", request) + "Content-Type: text/event-stream\r\n\r\n");
         for (int number = next; number <= EVENTS; number++) {
@@ -115,7 +133,7 @@
     }
 
     private void log(Message request) throws IOException {
-        String line = id + " runs " + request.header(Wire.header("id")) + " " + request.target() + " after event \""
+        String line = id + " runs " + request.header(Wire.header("id")) + " " + request.target() + " at " + System.currentTimeMillis() + " after event \""
                 + request.header(Wire.header("lastEvent")) + "\"\n";
         Files.writeString(
                 Path.of(System.getProperty("case.folder"), "runs"),
